--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks with bounds; ``make bench`` runs them all."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A small fleet on one machine: for the demo, the tests and benchmarks."""
--- /dev/null
+++ b/demo/backend.py
@@ -0,0 +1,157 @@
+"""Stand-in backend server: announces itself, works, calls on, crashes.
+
+Paths: ``/work?ms=5`` waits and answers; ``/call/SERVICE/PATH`` calls on
+through the node; ``/echo`` answers with the body and the headers it got;
+``/crash`` ends the process; ``/short`` breaks off in the middle of its answer;
+``/drop`` closes the connection without an answer. Each request that arrives is
+written to the run log as one line of JSON before anything else is done.
+"""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+import urllib.parse
+
+from fescueyard.core import http
+from fescueyard.transport import backend_client
+from fescueyard.transport import http_server
+from fescueyard.transport import streams
+
+RENEW_S = 0.5
+TTL_MS = 2_000
+BODY_BYTES_MAX = 64 * 1024 * 1024
+
+
+class Backend:
+    """One stand-in backend server.
+
+    :param options: :class:`Options`.
+    """
+
+    def __init__(self, options):
+        self._options = options
+        self._client = backend_client.BackendClient(1_000, BODY_BYTES_MAX)
+        self._server = http_server.HttpServer(self, BODY_BYTES_MAX)
+        self._run_log = open(options["run_log"], "a", buffering=1)
+        self._connections = {}
+        self._leaving = False
+
+    async def start(self):
+        """Listen and announce."""
+        address = streams.parse_address(self._options["address"])
+        await self._server.listen(address)
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._leave)
+        self._announce()
+
+    def request_received(self, exchange_id, request, connection):
+        """Take in a request."""
+        self._connections[exchange_id] = connection
+        self._log(request)
+        split = urllib.parse.urlsplit(request.target)
+        query = dict(urllib.parse.parse_qsl(split.query))
+        if split.path == "/crash":
+            os._exit(3)
+        if split.path == "/drop":
+            connection._transport.abort()
+        elif split.path == "/short":
+            head = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf"
+            connection._transport.write(head)
+            connection._transport.close()
+        elif split.path == "/echo":
+            headers = {row.name: row.value for row in request.headers}
+            told = {"headers": headers, "body": request.body.decode()}
+            self._answer(exchange_id, 200, json.dumps(told).encode())
+        elif split.path.startswith("/call/"):
+            self._call_on(exchange_id, request, split)
+        else:
+            delay_s = float(query.get("ms", "0")) / 1000
+            status = int(query.get("status", "200"))
+            body = query.get("body", "done").encode()
+            body *= int(query.get("times", "1"))
+            asyncio.get_running_loop().call_later(
+                delay_s, self._answer, exchange_id, status, body
+            )
+
+    def caller_left(self, exchange_id):
+        """Forget a request that was cancelled."""
+        self._connections.pop(exchange_id, None)
+
+    def _call_on(self, exchange_id, request, split):
+        target = split.path[len("/call") :]
+        if split.query:
+            target += "?" + split.query
+        headers = [
+            row
+            for row in request.headers
+            if row.name in ("fescueyard-token", "idempotency-key")
+        ]
+        onward = http.HttpRequest(request.method, target, headers, b"")
+        future = self._client.fetch(
+            f"http://{self._options['node']}", onward, True
+        )
+        future.add_done_callback(
+            lambda done: self._called(exchange_id, done.result())
+        )
+
+    def _called(self, exchange_id, result):
+        if result.answer is None:
+            self._answer(exchange_id, 502, b"the call broke off")
+        else:
+            answer = result.answer
+            self._answer(exchange_id, answer.status, answer.body)
+
+    def _answer(self, exchange_id, status, body):
+        connection = self._connections.pop(exchange_id, None)
+        if connection is not None:
+            connection.answer(http.HttpAnswer(status, [], body))
+
+    def _log(self, request):
+        told = {
+            "at": time.monotonic(),
+            "method": request.method,
+            "target": request.target,
+            "headers": {row.name: row.value for row in request.headers},
+            "body": request.body.decode("latin-1")[:200],
+        }
+        self._run_log.write(json.dumps(told) + "\n")
+
+    def _announce(self):
+        if self._leaving:
+            return
+        told = {
+            "service": self._options["service"],
+            "address": self._options["address"],
+            "slots": int(self._options["slots"]),
+            "ttl_ms": TTL_MS,
+        }
+        self._tell("/-/announce", json.dumps(told).encode())
+        asyncio.get_running_loop().call_later(RENEW_S, self._announce)
+
+    def _leave(self):
+        self._leaving = True
+        self._tell("/-/leave", b"")
+        asyncio.get_running_loop().call_later(RENEW_S, sys.exit, 0)
+
+    def _tell(self, target, body):
+        request = http.HttpRequest("POST", target, [], body)
+        self._client.fetch(f"http://{self._options['node']}", request, True)
+
+
+def main():
+    """Run a backend server; options are ``name=value`` arguments."""
+    options = dict(item.split("=", 1) for item in sys.argv[1:])
+    loop = asyncio.new_event_loop()
+
+    async def begin():
+        await Backend(options).start()
+
+    loop.run_until_complete(begin())
+    loop.run_forever()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/demo/fleet.py
@@ -0,0 +1,369 @@
+"""Starts and stops the processes of a small fleet on loopback."""
+
+import dataclasses
+import hashlib
+import json
+import os
+import pathlib
+import secrets
+import signal
+import socket
+import subprocess
+import sys
+import time
+
+from fescueyard.conf import settings
+from fescueyard.core import http
+from fescueyard.core import operators
+from fescueyard.management import client
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 15.0
+
+
+@dataclasses.dataclass
+class Node:
+    """A node, its backend server and their addresses."""
+
+    name: str
+    zone: str
+    service: str
+    process: subprocess.Popen | None = None
+    backend: subprocess.Popen | None = None
+    address: str = ""
+    caller_address: str = ""
+    backend_address: str = ""
+    server_address: str = ""
+
+
+@dataclasses.dataclass
+class Control:
+    """A control process and its addresses."""
+
+    name: str
+    zone: str
+    process: subprocess.Popen | None = None
+    address: str = ""
+    admin_address: str = ""
+
+
+def free_address():
+    """Find a free port.
+
+    :returns: ``host:port``.
+    """
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return f"{HOST}:{probe.getsockname()[1]}"
+
+
+class Fleet:
+    """Control processes, nodes and backend servers.
+
+    :param folder: folder for data, logs and run logs.
+    """
+
+    def __init__(self, folder):
+        self.folder = pathlib.Path(folder)
+        self.folder.mkdir(parents=True, exist_ok=True)
+        self.controls = []
+        self.nodes = []
+        self.keys = {}
+        self.token = operators.new_token()
+        self._operators_file = self.folder / "operators"
+        self._operators_file.write_text(
+            operators.token_line("demo", self.token) + "\n"
+        )
+        self._environment = dict(os.environ)
+        self._environment["FESCUEYARD_CLUSTER_SECRET"] = "s" * 32
+
+    def add_control(self, zone, join=False, dial=None):
+        """Start a control process; the first one starts the cluster.
+
+        :param zone: its availability zone.
+        :param join: ask to join a running cluster.
+        :param dial: address other processes should use for it, when a relay
+            stands in front; its own when None.
+        :returns: :class:`Control`.
+        """
+        control = Control(f"control-{len(self.controls)}", zone)
+        control.address = free_address()
+        control.admin_address = free_address()
+        self.controls.append(control)
+        if len(self.controls) == 1 and not join:
+            self._run("control_init", *self._control_flags(control))
+        self.start_control(control, join)
+        return control
+
+    def start_control(self, control, join=False):
+        """Start the process of a control VM, again or for the first time.
+
+        :param control: :class:`Control`.
+        :param join: start with a new data folder where there is none.
+        """
+        flags = self._control_flags(control)
+        if join:
+            flags.append("--join=True")
+        control.process = self._start(control.name, "control", *flags)
+        self._await_port(control.admin_address)
+
+    def add_node(self, zone, service="", slots=20):
+        """Start a node and its backend server.
+
+        :param zone: its availability zone.
+        :param service: service of the backend server; none when empty.
+        :param slots: slots of the backend server.
+        :returns: :class:`Node`.
+        """
+        node = Node(f"node-{len(self.nodes)}", zone, service)
+        node.address = free_address()
+        node.caller_address = free_address()
+        node.backend_address = free_address()
+        node.server_address = free_address()
+        self.nodes.append(node)
+        self.start_node(node)
+        if service:
+            self.start_backend(node, slots)
+        return node
+
+    def start_node(self, node):
+        """Start the process of a node, again or for the first time.
+
+        :param node: :class:`Node`.
+        """
+        seeds = ",".join(control.address for control in self.controls)
+        node.process = self._start(
+            node.name,
+            "node",
+            f"--node_id={node.name}",
+            f"--zone={node.zone}",
+            f"--address={node.address}",
+            f"--caller_address={node.caller_address}",
+            f"--backend_address={node.backend_address}",
+            f"--control_addresses={seeds}",
+        )
+        self._await_port(node.caller_address)
+
+    def start_backend(self, node, slots=20):
+        """Start the backend server of a node.
+
+        :param node: :class:`Node`.
+        :param slots: requests it runs at once.
+        """
+        log = open(self.folder / f"{node.name}-backend.log", "ab")
+        node.backend = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "demo.backend",
+                f"address={node.server_address}",
+                f"node={node.backend_address}",
+                f"service={node.service}",
+                f"slots={slots}",
+                f"run_log={self.run_log(node)}",
+            ],
+            stdout=log,
+            stderr=log,
+        )
+
+    def run_log(self, node):
+        """Find the run log of a node's backend server.
+
+        :param node: :class:`Node`.
+        :returns: path.
+        """
+        return self.folder / f"{node.name}-runs.jsonl"
+
+    def runs(self):
+        """Read every run that reached a backend server.
+
+        :returns: list of dicts.
+        """
+        found = []
+        for node in self.nodes:
+            path = self.run_log(node)
+            if path.exists():
+                for line in path.read_text().splitlines():
+                    found.append(json.loads(line))
+        return found
+
+    def api(self, timeout_ms=10_000):
+        """Make a client of the administration API.
+
+        :returns: :class:`~fescueyard.management.client.AdminClient`.
+        """
+        return client.AdminClient(
+            settings.OperatorSettings(
+                admin_addresses=[row.admin_address for row in self.controls],
+                operator_token=self.token,
+                timeout_ms=timeout_ms,
+            )
+        )
+
+    def put(self, kind, name, document, expected_version=0):
+        """Create or change an object.
+
+        :returns: its version.
+        """
+        answer = self.api().change(
+            "PUT",
+            f"/v1/objects/{kind}/{name}",
+            json.dumps(document).encode(),
+            expected_version,
+        )
+        return answer["version"]
+
+    def configure(self, *services, profile=None, rate_per_s=5000.0):
+        """Set up a profile, services, two firms and a customer of each.
+
+        The customers' keys are then in ``keys``, by customer.
+
+        :param services: names of the services.
+        :param profile: document of the profile.
+        :param rate_per_s: rate and burst of each customer.
+        """
+        self.put("profile", "standard", profile or {})
+        for service in services:
+            self.put("service", service, {"profile": "standard"})
+        for name in ("board", "limewash"):
+            self.put("firm", name, {"share": 1})
+            customer = {
+                "firm": name,
+                "rate_per_s": rate_per_s,
+                "burst": int(rate_per_s),
+            }
+            self.put("customer", name, customer)
+            key = f"fyk_{secrets.token_urlsafe(32)}"
+            sha256 = hashlib.sha256(key.encode()).hexdigest()
+            document = {"customer": name, "sha256": sha256}
+            self.put("key", f"{name}-key", document)
+            self.keys[name] = key
+
+    def retire(self, kind, name):
+        """Retire an object as it stands."""
+        path = f"/v1/objects/{kind}/{name}"
+        api = self.api()
+        version = api.read(path)["version"]
+        api.change("DELETE", path, b"", version)
+
+    def ctl(self, *arguments):
+        """Run ``fescueyard ctl``.
+
+        :returns: its standard output, as JSON.
+        """
+        environment = dict(self._environment)
+        environment["FESCUEYARD_OPERATOR_TOKEN"] = self.token
+        environment["FESCUEYARD_ADMIN_ADDRESSES"] = ",".join(
+            row.admin_address for row in self.controls
+        )
+        done = subprocess.run(
+            [sys.executable, "-m", "fescueyard", "ctl", *arguments],
+            env=environment,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        return json.loads(done.stdout)
+
+    def call(self, node, target, key="", method="GET", body=b"", **headers):
+        """Send one request to a node as a caller.
+
+        :param headers: further headers; underscores stand for hyphens.
+        :returns: :class:`~fescueyard.core.http.HttpAnswer`, no headers.
+        """
+        rows = [
+            http.Header(name.replace("_", "-"), value)
+            for name, value in headers.items()
+        ]
+        if key:
+            rows.append(http.Header("authorization", f"Bearer {key}"))
+        url = f"http://{node.caller_address}{target}"
+        return client.fetch(method, url, rows, body, 15_000)
+
+    def await_ready(self, service, key="", timeout_s=START_TIMEOUT_S):
+        """Wait until every node reaches a service.
+
+        :param service: the service.
+        :param key: key to call with.
+        """
+        end_s = time.monotonic() + timeout_s
+        for node in self.nodes:
+            while self.call(node, f"/{service}/work", key).status != 200:
+                if time.monotonic() > end_s:
+                    raise TimeoutError(f"{node.name} does not reach {service}")
+                time.sleep(0.05)
+
+    def stop(self):
+        """Stop everything gracefully, nodes first.
+
+        :returns: exit codes by process name.
+        """
+        found = {}
+        backends = [row.backend for row in self.nodes if row.backend]
+        _terminate([row.process for row in self.nodes])
+        for node in self.nodes:
+            found[node.name] = node.process.wait(STOP_TIMEOUT_S)
+        _terminate(backends)
+        for backend in backends:
+            backend.wait(STOP_TIMEOUT_S)
+        _terminate([row.process for row in self.controls])
+        for control in self.controls:
+            found[control.name] = control.process.wait(STOP_TIMEOUT_S)
+        return found
+
+    def kill(self):
+        """End whatever still runs."""
+        processes = [row.process for row in self.nodes + self.controls]
+        processes += [row.backend for row in self.nodes]
+        for process in processes:
+            if process is not None and process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+                process.wait()
+
+    def _control_flags(self, control):
+        others = [row.address for row in self.controls if row is not control]
+        return [
+            f"--zone={control.zone}",
+            f"--address={control.address}",
+            f"--admin_address={control.admin_address}",
+            f"--data_folder={self.folder / control.name}",
+            f"--operators_file={self._operators_file}",
+            f"--control_addresses={','.join(others)}",
+        ]
+
+    def _run(self, *arguments):
+        subprocess.run(
+            [sys.executable, "-m", "fescueyard", *arguments],
+            env=self._environment,
+            check=True,
+            capture_output=True,
+        )
+
+    def _start(self, name, *arguments):
+        log = open(self.folder / f"{name}.log", "ab")
+        return subprocess.Popen(
+            [sys.executable, "-m", "fescueyard", *arguments],
+            env=self._environment,
+            stdout=log,
+            stderr=log,
+        )
+
+    def _await_port(self, address):
+        host, _, port = address.rpartition(":")
+        end_s = time.monotonic() + START_TIMEOUT_S
+        while True:
+            try:
+                socket.create_connection((host, int(port)), 1).close()
+                return
+            except OSError:
+                if time.monotonic() > end_s:
+                    raise TimeoutError(f"nothing listens on {address}")
+                time.sleep(0.02)
+
+
+def _terminate(processes):
+    for process in processes:
+        if process.poll() is None:
+            process.terminate()
--- /dev/null
+++ b/fescueyard/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Queueing and concurrency control in front of a backend server."""
--- /dev/null
+++ b/fescueyard/admission/limiter.py
@@ -0,0 +1,75 @@
+"""Concurrency limit that follows the measured latency.
+
+The limit shrinks when the latency of late rises above the usual latency times
+the profile's tolerance, and grows while it is in use and latency is normal. It
+never exceeds the slots that the backend server announced.
+"""
+
+import math
+
+SHORT_WEIGHT = 0.1
+LONG_WEIGHT = 0.01
+LONG_RECOVERY_WEIGHT = 0.1
+GRADIENT_MIN = 0.5
+LIMIT_WEIGHT = 0.2
+
+
+def new_backend(row, slots):
+    """Start afresh for a backend server that announced itself.
+
+    :param row: :class:`~fescueyard.admission.models.LimiterRow`.
+    :param slots: requests it runs at once.
+    """
+    row.limit = float(slots)
+    row.short_ms = 0.0
+    row.long_ms = 0.0
+
+
+def note_end(row, latency_ms, running, slots, profile):
+    """Take in the end of a run.
+
+    :param row: :class:`~fescueyard.admission.models.LimiterRow`.
+    :param latency_ms: time at the backend server.
+    :param running: requests that ran at the time, this one included.
+    :param slots: requests the backend server runs at once.
+    :param profile: :class:`~fescueyard.configuration.models.Profile`.
+    """
+    if not row.long_ms:
+        row.short_ms = row.long_ms = max(latency_ms, 0.1)
+        return
+    row.short_ms += SHORT_WEIGHT * (latency_ms - row.short_ms)
+    weight = LONG_WEIGHT
+    if latency_ms < row.long_ms / 2:
+        # After a slow spell the usual latency has to come down quickly.
+        weight = LONG_RECOVERY_WEIGHT
+    row.long_ms += weight * (latency_ms - row.long_ms)
+    gradient = profile.latency_tolerance * row.long_ms / row.short_ms
+    gradient = min(1.0, max(GRADIENT_MIN, gradient))
+    if gradient == 1.0 and running < row.limit / 2:
+        return
+    wanted = row.limit * gradient + math.sqrt(row.limit)
+    row.limit += LIMIT_WEIGHT * (wanted - row.limit)
+    lowest = min(profile.concurrency_min, slots)
+    row.limit = min(float(slots), max(float(lowest), row.limit))
+
+
+def may_start(row, running):
+    """Say whether one more request may run.
+
+    :param row: :class:`~fescueyard.admission.models.LimiterRow`.
+    :param running: requests that run now.
+    :returns: bool.
+    """
+    return running < int(row.limit)
+
+
+def wait_ms(row, ahead):
+    """Estimate how long a request waits until it starts.
+
+    :param row: :class:`~fescueyard.admission.models.LimiterRow`.
+    :param ahead: requests that start before it.
+    :returns: ms; 0 while nothing is known.
+    """
+    if not row.short_ms:
+        return 0.0
+    return (ahead + 1) * row.short_ms / max(1.0, row.limit)
--- /dev/null
+++ b/fescueyard/admission/messages.py
@@ -0,0 +1,65 @@
+"""Messages between the node of a call and the node of its backend server."""
+
+import dataclasses
+
+from fescueyard.core import http
+from fescueyard.core import wire
+from fescueyard.retries import messages as retry_messages
+
+
+@wire.message(60)
+@dataclasses.dataclass(slots=True)
+class Forward:
+    """A request for the receiver's backend server.
+
+    :param attempt_id: number of the attempt at the sender.
+    :param service: service that is meant.
+    :param request: the request, without any key.
+    :param idempotent: whether running twice does no harm.
+    :param customer: customer it runs for; empty on an open route.
+    :param key_id: key it came with; empty on an open route.
+    :param priority: 0 is the most important.
+    :param deadline_ms: time left when it was sent.
+    :param chain: the call chain.
+    :param fingerprint: digest of the request, for quarantine.
+    """
+
+    attempt_id: int
+    service: str
+    request: http.HttpRequest
+    idempotent: bool
+    customer: str
+    key_id: str
+    priority: int
+    deadline_ms: float
+    chain: retry_messages.Chain
+    fingerprint: bytes
+
+
+@wire.message(61)
+@dataclasses.dataclass(slots=True)
+class ForwardAnswer:
+    """Answers a :class:`Forward`.
+
+    :param attempt_id: the attempt.
+    :param code: number of the result code.
+    :param answer: the backend server's answer; None when there is none.
+    :param retry_after_ms: when to come back; 0 when there is no advice.
+    :param load: requests queued and running at the backend server.
+    :param limit: its concurrency limit.
+    """
+
+    attempt_id: int
+    code: int
+    answer: http.HttpAnswer | None
+    retry_after_ms: float
+    load: int
+    limit: int
+
+
+@wire.message(62)
+@dataclasses.dataclass(slots=True)
+class ForwardCancel:
+    """The caller left or the deadline passed; the attempt is pointless."""
+
+    attempt_id: int
--- /dev/null
+++ b/fescueyard/admission/models.py
@@ -0,0 +1,102 @@
+"""Tables of the queue and the concurrency limit of one backend server."""
+
+import dataclasses
+
+from fescueyard.admission import messages
+
+
+@dataclasses.dataclass(slots=True)
+class BackendRow:
+    """This VM's backend server, as it announced itself.
+
+    :param service: its service.
+    :param address: ``host:port`` on this VM.
+    :param slots: requests it runs at once.
+    :param expires_at_ms: silence until then means it is gone.
+    :param leaving: it takes no new work.
+    """
+
+    service: str
+    address: str
+    slots: int
+    expires_at_ms: float
+    leaving: bool
+
+
+@dataclasses.dataclass(slots=True)
+class RunRow:
+    """A request queued for, or running at, this VM's backend server.
+
+    :param peer_id: node that sent it; this node's own id for local ones.
+    :param stream: handle of the sender's stream; None for local ones.
+    :param forward: what was sent.
+    :param deadline_at_ms: by this node's clock.
+    :param queued_at_ms: when it came.
+    :param started_at_ms: when it was sent to the backend server, or None.
+    :param token: call token of the run; empty while queued.
+    :param queued: whether it is in the queue.
+    """
+
+    run_id: int
+    peer_id: str
+    stream: object
+    forward: messages.Forward
+    deadline_at_ms: float
+    queued_at_ms: float
+    firm: str
+    started_at_ms: float | None = None
+    token: str = ""
+    queued: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class LimiterRow:
+    """The adaptive concurrency limit.
+
+    :param limit: requests that may run at once.
+    :param short_ms: latency of late, smoothed over a few answers.
+    :param long_ms: usual latency, smoothed over many.
+    """
+
+    limit: float = 1.0
+    short_ms: float = 0.0
+    long_ms: float = 0.0
+
+
+@dataclasses.dataclass
+class FairnessTable:
+    """Virtual times for fair queueing over firms and their customers.
+
+    :param firm_time: work served to each firm over its share.
+    :param customer_time: the same for each customer within its firm.
+    """
+
+    firm_time: dict[str, float] = dataclasses.field(default_factory=dict)
+    customer_time: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class RunTable:
+    """All requests at this VM's backend server.
+
+    :param queued: ids of queued runs by priority, then by customer, oldest
+        first.
+    :param running: ids of runs at the backend server.
+    :param by_token: ids of running runs by call token.
+    :param by_attempt: ids by sender and attempt.
+    """
+
+    rows: dict[int, RunRow] = dataclasses.field(default_factory=dict)
+    queued: dict[int, dict[str, dict[int, None]]] = dataclasses.field(
+        default_factory=dict
+    )
+    queued_count: int = 0
+    running: dict[int, None] = dataclasses.field(default_factory=dict)
+    by_token: dict[str, int] = dataclasses.field(default_factory=dict)
+    by_attempt: dict[tuple[str, int], int] = dataclasses.field(
+        default_factory=dict
+    )
+    last_run_id: int = 0
+    backend: BackendRow | None = None
+    limiter: LimiterRow = dataclasses.field(default_factory=LimiterRow)
+    fairness: FairnessTable = dataclasses.field(default_factory=FairnessTable)
--- /dev/null
+++ b/fescueyard/admission/queueing.py
@@ -0,0 +1,137 @@
+"""Order of the queue: strict priority, then fair over firms and customers."""
+
+from fescueyard.configuration import models as configuration_models
+
+
+def enqueue(table, row):
+    """Add a run to the queue.
+
+    :param table: :class:`~fescueyard.admission.models.RunTable`.
+    :param row: the run.
+    """
+    by_customer = table.queued.setdefault(row.forward.priority, {})
+    runs = by_customer.setdefault(row.forward.customer, {})
+    runs[row.run_id] = None
+    row.queued = True
+    table.queued_count += 1
+
+
+def remove(table, row):
+    """Take a run out of the queue.
+
+    :param table: :class:`~fescueyard.admission.models.RunTable`.
+    :param row: the run.
+    """
+    by_customer = table.queued[row.forward.priority]
+    runs = by_customer[row.forward.customer]
+    del runs[row.run_id]
+    row.queued = False
+    table.queued_count -= 1
+    if not runs:
+        del by_customer[row.forward.customer]
+    if not by_customer:
+        del table.queued[row.forward.priority]
+
+
+def count_ahead(table, priority):
+    """Count the queued runs that go before a new one.
+
+    :param table: :class:`~fescueyard.admission.models.RunTable`.
+    :param priority: priority of the new one.
+    :returns: number of runs.
+    """
+    ahead = 0
+    for other, by_customer in table.queued.items():
+        if other <= priority:
+            ahead += sum(len(runs) for runs in by_customer.values())
+    return ahead
+
+
+def next_to_start(table):
+    """Choose the run to start next.
+
+    :param table: :class:`~fescueyard.admission.models.RunTable`.
+    :returns: the run, or None when the queue is empty.
+    """
+    if not table.queued:
+        return None
+    by_customer = table.queued[min(table.queued)]
+    heads = [table.rows[next(iter(runs))] for runs in by_customer.values()]
+    return min(heads, key=lambda row: _order(table.fairness, row))
+
+
+def least_important(table):
+    """Choose the run to evict first.
+
+    It has the lowest priority; among those it is the newest one of the
+    customer with the most runs queued.
+
+    :param table: :class:`~fescueyard.admission.models.RunTable`.
+    :returns: the run, or None when the queue is empty.
+    """
+    if not table.queued:
+        return None
+    by_customer = table.queued[max(table.queued)]
+    runs = max(by_customer.values(), key=len)
+    return table.rows[next(reversed(runs))]
+
+
+def charge(tables, row, cost_ms):
+    """Count the time a run took against its firm and customer.
+
+    :param tables: the node's tables.
+    :param row: the run.
+    :param cost_ms: time at the backend server.
+    """
+    fairness = tables.runs.fairness
+    state = tables.configuration.state
+    firm = state.find(configuration_models.Kind.FIRM, row.firm)
+    customer_name = row.forward.customer
+    customer = state.find(configuration_models.Kind.CUSTOMER, customer_name)
+    firm_share = firm.share if firm else 1
+    customer_share = customer.share if customer else 1
+    _advance(fairness.firm_time, row.firm, cost_ms / firm_share)
+    _advance(fairness.customer_time, customer_name, cost_ms / customer_share)
+
+
+def rejoin(table, row):
+    """Bring a firm or customer that was idle up to the present virtual time.
+
+    Otherwise it would be owed for the time in which it asked for nothing.
+
+    :param table: :class:`~fescueyard.admission.models.RunTable`.
+    :param row: a run about to be queued.
+    """
+    fairness = table.fairness
+    firms = set()
+    customers = set()
+    for run_id in table.running:
+        running = table.rows[run_id]
+        firms.add(running.firm)
+        customers.add(running.forward.customer)
+    for by_customer in table.queued.values():
+        for customer, runs in by_customer.items():
+            customers.add(customer)
+            firms.add(table.rows[next(iter(runs))].firm)
+    _catch_up(fairness.firm_time, row.firm, firms)
+    _catch_up(fairness.customer_time, row.forward.customer, customers)
+
+
+def _order(fairness, row):
+    return (
+        fairness.firm_time.get(row.firm, 0.0),
+        fairness.customer_time.get(row.forward.customer, 0.0),
+        row.run_id,
+    )
+
+
+def _advance(times, name, amount):
+    times[name] = times.get(name, 0.0) + amount
+
+
+def _catch_up(times, name, active):
+    if name in active:
+        return
+    present = [times.get(other, 0.0) for other in active]
+    floor = min(present) if present else max(times.values(), default=0.0)
+    times[name] = max(times.get(name, 0.0), floor)
--- /dev/null
+++ b/fescueyard/admission/systems.py
@@ -0,0 +1,390 @@
+"""Admission in front of this VM's backend server.
+
+Every request to the backend server passes here, so the number in flight is
+known and not reported. A refusal says "not run" only for a request of which
+no byte was written to the backend server; taking it out of the queue and
+answering are one step.
+"""
+
+import dataclasses
+
+from fescueyard.admission import limiter
+from fescueyard.admission import messages
+from fescueyard.admission import models
+from fescueyard.admission import queueing
+from fescueyard.configuration import models as configuration_models
+from fescueyard.core import codes
+from fescueyard.core import dispatch
+from fescueyard.core import effects
+from fescueyard.core import http
+from fescueyard.core import timers
+from fescueyard.retries import quarantine
+from fescueyard.routing import membership
+
+RETRY_AFTER_MIN_MS = 200
+RETRY_AFTER_MAX_MS = 10_000
+RETRY_AFTER_SPREAD = 1.0
+TOKEN_BITS = 128
+
+TOKEN_HEADER = "fescueyard-token"
+DEADLINE_HEADER = "fescueyard-deadline-ms"
+PRIORITY_HEADER = "fescueyard-priority"
+CUSTOMER_HEADER = "fescueyard-customer"
+
+
+@dataclasses.dataclass(slots=True)
+class LocalAnswer:
+    """Event: the answer to an attempt that this node made on itself."""
+
+    answer: messages.ForwardAnswer
+
+
+@dataclasses.dataclass(slots=True)
+class RunDeadline:
+    """Event: the deadline of a run has come."""
+
+    run_id: int
+
+
+@dataclasses.dataclass(slots=True)
+class BackendExpiry:
+    """Event: time to see whether the backend server still renews."""
+
+
+def announce(tables, service, address, slots, ttl_ms, now_ms):
+    """Take in the announcement of the backend server, or its renewal.
+
+    :param tables: the node's tables.
+    :param service: its service.
+    :param address: ``host:port`` on this VM.
+    :param slots: requests it runs at once.
+    :param ttl_ms: silence for so long means it is gone.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    known = table.backend
+    expires_at_ms = now_ms + ttl_ms
+    same = (
+        known is not None
+        and not known.leaving
+        and (known.service, known.address, known.slots)
+        == (service, address, slots)
+    )
+    if same:
+        known.expires_at_ms = expires_at_ms
+    else:
+        limiter.new_backend(table.limiter, slots)
+        table.backend = models.BackendRow(
+            service, address, slots, expires_at_ms, False
+        )
+        _tell_fleet(tables, now_ms)
+    timers.schedule(tables.timers, expires_at_ms, BackendExpiry())
+
+
+def leave(tables, now_ms):
+    """Stop new work for the backend server; what runs goes on.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    if table.backend is None or table.backend.leaving:
+        return
+    table.backend.leaving = True
+    _tell_fleet(tables, now_ms)
+    for run_id in list(table.rows):
+        if run_id not in table.running:
+            _refuse(tables, table.rows[run_id], codes.LEAVING, now_ms)
+
+
+def accept(tables, forward, peer_id, stream, now_ms):
+    """Take a request for the backend server: run, queue or refuse it.
+
+    :param tables: the node's tables.
+    :param forward: :class:`~fescueyard.admission.messages.Forward`.
+    :param peer_id: the sending node.
+    :param stream: handle of its stream; None for this node itself.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    table.last_run_id += 1
+    customer = tables.configuration.state.find(
+        configuration_models.Kind.CUSTOMER, forward.customer
+    )
+    row = models.RunRow(
+        table.last_run_id,
+        peer_id,
+        stream,
+        forward,
+        now_ms + forward.deadline_ms,
+        now_ms,
+        customer.firm if customer else "",
+    )
+    table.rows[row.run_id] = row
+    table.by_attempt[peer_id, forward.attempt_id] = row.run_id
+    code = _refusal(tables, row, now_ms)
+    if code is not None:
+        _refuse(tables, row, code, now_ms)
+        return
+    queueing.rejoin(table, row)
+    queueing.enqueue(table, row)
+    timers.schedule(tables.timers, row.deadline_at_ms, RunDeadline(row.run_id))
+    _start_what_may(tables, now_ms)
+    _bound_queue(tables, row, now_ms)
+
+
+def cancel(tables, peer_id, attempt_id, now_ms):
+    """Drop a request whose caller has given up.
+
+    :param tables: the node's tables.
+    :param peer_id: the node that sent it.
+    :param attempt_id: its attempt.
+    :param now_ms: the present time.
+    """
+    run_id = tables.runs.by_attempt.get((peer_id, attempt_id))
+    if run_id is None:
+        return
+    row = tables.runs.rows[run_id]
+    if row.started_at_ms is None:
+        _refuse(tables, row, codes.CANCELLED, now_ms)
+    else:
+        _abort(tables, row, codes.CANCELLED_RUNNING, now_ms)
+
+
+def finish_run(tables, run_id, answer, code, now_ms):
+    """Take in the end of a run at the backend server.
+
+    :param tables: the node's tables.
+    :param run_id: the run.
+    :param answer: the whole answer, or None.
+    :param code: result code of the run.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    row = table.rows.get(run_id)
+    if row is None:
+        tables.metrics.count("late_backend_answers")
+        return
+    if code is codes.BACKEND_FAILED:
+        quarantine.note_crash(tables, row.forward, now_ms)
+    _note_end(tables, row, now_ms)
+    _end(tables, row, code, answer, 0.0)
+    _start_what_may(tables, now_ms)
+
+
+def find_running(tables, token):
+    """Find the run that a call token stands for.
+
+    :param tables: the node's tables.
+    :param token: the token.
+    :returns: :class:`~fescueyard.admission.models.RunRow`, or None.
+    """
+    run_id = tables.runs.by_token.get(token)
+    return None if run_id is None else tables.runs.rows[run_id]
+
+
+def stream_lost(tables, peer_id, stream, now_ms):
+    """Drop the requests of a node whose stream is gone.
+
+    :param tables: the node's tables.
+    :param peer_id: the node.
+    :param stream: handle of the stream.
+    :param now_ms: the present time.
+    """
+    for row in list(tables.runs.rows.values()):
+        if row.stream is stream and row.stream is not None:
+            cancel(tables, peer_id, row.forward.attempt_id, now_ms)
+
+
+def load(table):
+    """Count the requests queued and running.
+
+    :param table: :class:`~fescueyard.admission.models.RunTable`.
+    :returns: number of requests.
+    """
+    return len(table.rows)
+
+
+@dispatch.receive.register
+def _receive_forward(message: messages.Forward, tables, sender, now_ms):
+    accept(tables, message, sender.peer_id, sender.stream, now_ms)
+
+
+@dispatch.receive.register
+def _receive_cancel(message: messages.ForwardCancel, tables, sender, now_ms):
+    cancel(tables, sender.peer_id, message.attempt_id, now_ms)
+
+
+@dispatch.handle.register
+def _reach_deadline(event: RunDeadline, tables, now_ms):
+    row = tables.runs.rows.get(event.run_id)
+    if row is None:
+        return
+    if row.started_at_ms is None:
+        _refuse(tables, row, codes.DEADLINE_NOT_RUN, now_ms)
+    else:
+        _abort(tables, row, codes.DEADLINE_EXCEEDED, now_ms)
+
+
+@dispatch.handle.register
+def _check_expiry(event: BackendExpiry, tables, now_ms):
+    backend = tables.runs.backend
+    if backend is not None and now_ms >= backend.expires_at_ms:
+        leave(tables, now_ms)
+
+
+def _refusal(tables, row, now_ms):
+    """Find the reason, if any, not to take a request at all."""
+    forward = row.forward
+    backend = tables.runs.backend
+    if backend is None or backend.service != forward.service:
+        return codes.NO_BACKEND
+    if backend.leaving or tables.draining:
+        return codes.LEAVING
+    if row.deadline_at_ms <= now_ms:
+        return codes.DEADLINE_NOT_RUN
+    if _key_is_withdrawn(tables, forward):
+        return codes.KEY_REFUSED
+    if quarantine.is_quarantined(tables, forward.fingerprint, now_ms):
+        return codes.QUARANTINED
+    return None
+
+
+def _key_is_withdrawn(tables, forward):
+    if not forward.key_id:
+        return False
+    key = tables.configuration.state.find(
+        configuration_models.Kind.KEY, forward.key_id
+    )
+    return key is None
+
+
+def _bound_queue(tables, row, now_ms):
+    """Shed what the queue can't hold or can't start in time."""
+    table = tables.runs
+    if row.run_id not in table.rows or row.started_at_ms is not None:
+        return
+    ahead = queueing.count_ahead(table, row.forward.priority) - 1
+    expected_ms = limiter.wait_ms(table.limiter, ahead)
+    expected_ms += table.limiter.short_ms
+    if now_ms + expected_ms > row.deadline_at_ms:
+        _refuse(tables, row, codes.DEADLINE_UNREACHABLE, now_ms)
+        return
+    if table.queued_count > tables.own_profile().queue_max:
+        victim = queueing.least_important(table)
+        code = codes.OVERLOADED if victim is row else codes.EVICTED
+        _refuse(tables, victim, code, now_ms)
+
+
+def _start_what_may(tables, now_ms):
+    table = tables.runs
+    while limiter.may_start(table.limiter, len(table.running)):
+        row = queueing.next_to_start(table)
+        if row is None:
+            return
+        if _key_is_withdrawn(tables, row.forward):
+            _refuse(tables, row, codes.KEY_REFUSED, now_ms)
+        elif now_ms + table.limiter.short_ms / 2 > row.deadline_at_ms:
+            # Work that can't end in time would be wasted.
+            _refuse(tables, row, codes.DEADLINE_NOT_RUN, now_ms)
+        else:
+            _start(tables, row, now_ms)
+
+
+def _start(tables, row, now_ms):
+    table = tables.runs
+    queueing.remove(table, row)
+    row.started_at_ms = now_ms
+    row.token = f"{tables.secure_random.getrandbits(TOKEN_BITS):x}"
+    table.running[row.run_id] = None
+    table.by_token[row.token] = row.run_id
+    forward = row.forward
+    request = http.HttpRequest(
+        forward.request.method,
+        forward.request.target,
+        forward.request.headers + _own_headers(row, now_ms),
+        forward.request.body,
+    )
+    tables.effects.append(
+        effects.StartRun(
+            row.run_id, table.backend.address, request, forward.idempotent
+        )
+    )
+
+
+def _own_headers(row, now_ms):
+    left_ms = max(0, int(row.deadline_at_ms - now_ms))
+    headers = [
+        http.Header(TOKEN_HEADER, row.token),
+        http.Header(DEADLINE_HEADER, str(left_ms)),
+        http.Header(PRIORITY_HEADER, str(row.forward.priority)),
+    ]
+    if row.forward.customer:
+        headers.append(http.Header(CUSTOMER_HEADER, row.forward.customer))
+    return headers
+
+
+def _abort(tables, row, code, now_ms):
+    tables.effects.append(effects.AbortRun(row.run_id))
+    _note_end(tables, row, now_ms)
+    _end(tables, row, code, None, 0.0)
+    _start_what_may(tables, now_ms)
+
+
+def _note_end(tables, row, now_ms):
+    table = tables.runs
+    latency_ms = now_ms - row.started_at_ms
+    queueing.charge(tables, row, latency_ms)
+    limiter.note_end(
+        table.limiter,
+        latency_ms,
+        len(table.running),
+        table.backend.slots,
+        tables.own_profile(),
+    )
+
+
+def _refuse(tables, row, code, now_ms):
+    if row.queued:
+        queueing.remove(tables.runs, row)
+    _end(tables, row, code, None, _retry_after_ms(tables))
+
+
+def _end(tables, row, code, answer, retry_after_ms):
+    table = tables.runs
+    del table.rows[row.run_id]
+    del table.by_attempt[row.peer_id, row.forward.attempt_id]
+    table.running.pop(row.run_id, None)
+    table.by_token.pop(row.token, None)
+    tables.metrics.count(f"runs_{code.name}")
+    told = messages.ForwardAnswer(
+        row.forward.attempt_id,
+        code.number,
+        answer,
+        retry_after_ms,
+        load(table),
+        int(table.limiter.limit),
+    )
+    if row.stream is None:
+        tables.events.append(LocalAnswer(told))
+    else:
+        tables.effects.append(effects.SendReply(row.stream, told))
+
+
+def _retry_after_ms(tables):
+    """Say when the queue should have drained, spread over clients."""
+    table = tables.runs
+    drained_ms = limiter.wait_ms(table.limiter, table.queued_count)
+    base_ms = min(max(drained_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS)
+    return base_ms * (1 + RETRY_AFTER_SPREAD * tables.random.random())
+
+
+def _tell_fleet(tables, now_ms):
+    backend = tables.runs.backend
+    membership.change_own(
+        tables,
+        now_ms,
+        service=backend.service,
+        slots=backend.slots,
+        accepting=not (backend.leaving or tables.draining),
+    )
--- /dev/null
+++ b/fescueyard/conf/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of every process and the checks that validate them."""
--- /dev/null
+++ b/fescueyard/conf/checks.py
@@ -0,0 +1,173 @@
+"""Checks of settings beyond their form; each problem has an id and a hint."""
+
+import dataclasses
+import functools
+import ipaddress
+import os
+
+from fescueyard.conf import settings
+from fescueyard.core import exceptions
+from fescueyard.core import operators
+
+
+@dataclasses.dataclass(frozen=True)
+class Problem:
+    """Something wrong with the settings.
+
+    :param id: stable id, such as ``conf.E001``; W marks a warning.
+    :param message: what is wrong.
+    :param hint: what to do about it.
+    """
+
+    id: str
+    message: str
+    hint: str
+
+    def is_error(self):
+        """Say whether a process must not start with this.
+
+        :returns: bool.
+        """
+        return ".E" in self.id
+
+
+@functools.singledispatch
+def check(values):
+    """Check settings.
+
+    :param values: a settings object.
+    :returns: list of :class:`Problem`.
+    :raises TypeError: when there are no checks for the object.
+    """
+    raise TypeError(f"no checks for {type(values).__name__}")
+
+
+@check.register
+def _check_node(values: settings.NodeSettings):
+    problems = _check_process(values)
+    host = values.backend_address.rpartition(":")[0]
+    if not ipaddress.ip_address(host).is_loopback:
+        problems.append(
+            Problem(
+                "conf.E003",
+                f"backend_address {values.backend_address} is no loopback "
+                "address",
+                "Only the VM's own backend server may reach it: use "
+                "127.0.0.1.",
+            )
+        )
+    addresses = [
+        values.address,
+        values.caller_address,
+        values.backend_address,
+    ]
+    if len(set(addresses)) < len(addresses):
+        problems.append(
+            Problem(
+                "conf.E004",
+                "two listeners have the same address",
+                "Give address, caller_address and backend_address a port "
+                "each.",
+            )
+        )
+    if not values.control_addresses:
+        problems.append(
+            Problem(
+                "conf.E005",
+                "control_addresses is empty",
+                "Name at least one control VM, or the node finds no fleet.",
+            )
+        )
+    return problems
+
+
+@check.register
+def _check_control(values: settings.ControlSettings):
+    problems = _check_process(values)
+    if os.path.exists(values.data_folder) and not os.access(
+        values.data_folder, os.W_OK
+    ):
+        problems.append(
+            Problem(
+                "conf.E006",
+                f"data_folder {values.data_folder} can't be written",
+                "Give the process's user write access.",
+            )
+        )
+    try:
+        operators.load(values.operators_file)
+    except exceptions.SettingsError as error:
+        problems.append(
+            Problem(
+                "conf.E007",
+                error.detail,
+                "Make a line with `fescueyard operator_token NAME`.",
+            )
+        )
+    if values.join and not values.control_addresses:
+        problems.append(
+            Problem(
+                "conf.E008",
+                "join is set but control_addresses is empty",
+                "Name a control VM of the cluster to join.",
+            )
+        )
+    return problems
+
+
+@check.register
+def _check_operator(values: settings.OperatorSettings):
+    try:
+        settings.read_secret(
+            values.operator_token, values.operator_token_file, "operator_token"
+        )
+    except exceptions.SettingsError as error:
+        hint = "Set FESCUEYARD_OPERATOR_TOKEN or operator_token_file."
+        return [Problem("conf.E009", error.detail, hint)]
+    return []
+
+
+def require(values):
+    """Check settings and refuse to go on with an error.
+
+    :param values: a settings object.
+    :raises SettingsError: naming the problems.
+    """
+    errors = [row for row in check(values) if row.is_error()]
+    if errors:
+        text = "; ".join(f"{row.id}: {row.message}" for row in errors)
+        raise exceptions.SettingsError(text)
+
+
+def _check_process(values):
+    problems = []
+    try:
+        settings.read_secret(
+            values.cluster_secret, values.cluster_secret_file, "cluster_secret"
+        )
+    except exceptions.SettingsError as error:
+        problems.append(
+            Problem(
+                "conf.E001",
+                error.detail,
+                "Set FESCUEYARD_CLUSTER_SECRET or cluster_secret_file to the "
+                "same secret on every VM.",
+            )
+        )
+    if values.dump_folder and not os.path.isdir(values.dump_folder):
+        problems.append(
+            Problem(
+                "conf.E002",
+                f"dump_folder {values.dump_folder} is no folder",
+                "Make the folder, or leave the setting empty to log dumps.",
+            )
+        )
+    if values.address.startswith("0.0.0.0:"):
+        problems.append(
+            Problem(
+                "conf.E010",
+                "address 0.0.0.0 tells other processes nothing",
+                "Use the IP number that the other VMs reach.",
+            )
+        )
+    return problems
--- /dev/null
+++ b/fescueyard/conf/defaults.py
@@ -0,0 +1,7 @@
+"""Defaults of the settings, in one place."""
+
+BODY_BYTES_MAX = 8 * 1024 * 1024
+ANSWER_BYTES_MAX = 8 * 1024 * 1024
+SECRET_BYTES_MIN = 16
+LOG_LEVEL = "info"
+ENVIRONMENT_PREFIX = "FESCUEYARD_"
--- /dev/null
+++ b/fescueyard/conf/settings.py
@@ -0,0 +1,178 @@
+"""Settings of the processes, from flags and environment variables.
+
+A flag goes before its environment variable. Secrets are never flags, because
+a process list shows those.
+"""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from fescueyard.conf import defaults
+from fescueyard.configuration import models
+from fescueyard.core import exceptions
+
+_STRICT = pydantic.ConfigDict(extra="forbid")
+
+AddressText = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[0-9.]+:[0-9]{1,5}$")
+]
+NameText = typing.Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+]
+ByteCount = typing.Annotated[int, pydantic.Field(ge=1024, le=16 * 1024**2)]
+LogLevel = typing.Literal["debug", "info", "warning", "error"]
+
+SECRET_FIELDS = ("cluster_secret", "operator_token")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ProcessSettings:
+    """Settings that every long-lived process has.
+
+    :param zone: availability zone of the VM.
+    :param region: region of the zone.
+    :param address: ``host:port`` of the process's streams (TCP) and
+        datagrams (UDP).
+    :param control_addresses: ``host:port`` of control VMs, by which the
+        process finds the fleet.
+    :param cluster_secret: secret of the cluster; only from the environment.
+    :param cluster_secret_file: file that holds the secret instead.
+    :param dump_folder: folder for dumps on SIGUSR1; empty logs them.
+    :param log_level: least severe log written.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    zone: NameText
+    region: NameText = "region-1"
+    address: AddressText
+    control_addresses: list[AddressText] = dataclasses.field(
+        default_factory=list
+    )
+    cluster_secret: str = dataclasses.field(default="", repr=False)
+    cluster_secret_file: str = ""
+    dump_folder: str = ""
+    log_level: LogLevel = defaults.LOG_LEVEL
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class NodeSettings(ProcessSettings):
+    """Settings of ``fescueyard node``.
+
+    :param node_id: name of the node; made up when empty.
+    :param caller_address: ``host:port`` for callers.
+    :param backend_address: ``host:port`` for the VM's own backend server;
+        has to be a loopback address.
+    :param body_bytes_max: largest request body.
+    :param answer_bytes_max: largest answer body.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    node_id: str = ""
+    caller_address: AddressText
+    backend_address: AddressText
+    body_bytes_max: ByteCount = defaults.BODY_BYTES_MAX
+    answer_bytes_max: ByteCount = defaults.ANSWER_BYTES_MAX
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class ControlSettings(ProcessSettings):
+    """Settings of ``fescueyard control``.
+
+    :param data_folder: the data folder, on the VM's disk.
+    :param admin_address: ``host:port`` of the administration API.
+    :param operators_file: file with a line ``name sha256-of-token`` for each
+        operator.
+    :param join: start with a new data folder and ask to become a member.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    data_folder: str
+    admin_address: AddressText
+    operators_file: str
+    join: bool = False
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class OperatorSettings:
+    """Settings of ``fescueyard ctl``.
+
+    :param admin_addresses: ``host:port`` of administration APIs, tried in
+        order.
+    :param operator_token: the operator's token; only from the environment.
+    :param operator_token_file: file that holds the token instead.
+    :param timeout_ms: how long a change may take over all tries.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    admin_addresses: list[AddressText]
+    operator_token: str = dataclasses.field(default="", repr=False)
+    operator_token_file: str = ""
+    timeout_ms: typing.Annotated[int, pydantic.Field(ge=100)] = 10_000
+
+
+def load(cls, flags, environment):
+    """Build settings from flags and environment variables.
+
+    :param cls: the settings class.
+    :param flags: flag values by name.
+    :param environment: environment variables.
+    :returns: an instance of ``cls``.
+    :raises SettingsError: naming each setting that is wrong.
+    """
+    for name in SECRET_FIELDS:
+        if name in flags:
+            raise exceptions.SettingsError(
+                f"{name} must not be a flag; use the environment or a file"
+            )
+    values = {}
+    for field in dataclasses.fields(cls):
+        variable = defaults.ENVIRONMENT_PREFIX + field.name.upper()
+        if variable in environment:
+            values[field.name] = environment[variable]
+    values.update(flags)
+    for field in dataclasses.fields(cls):
+        if field.name in values and typing.get_origin(field.type) is list:
+            values[field.name] = _split(values[field.name])
+    try:
+        return pydantic.TypeAdapter(cls).validate_python(values)
+    except pydantic.ValidationError as error:
+        raise exceptions.SettingsError(models.describe(error)) from None
+
+
+def read_secret(value, path, what):
+    """Read a secret from its setting or its file.
+
+    :param value: the setting; empty for none.
+    :param path: the file; empty for none.
+    :param what: name of the secret, for the error.
+    :returns: the secret, as bytes.
+    :raises SettingsError: when there is none, or it is too short.
+    """
+    secret = value.encode()
+    if not secret and path:
+        try:
+            with open(path, "rb") as file:
+                secret = file.read().strip()
+        except OSError as error:
+            raise exceptions.SettingsError(
+                f"{what}: can't read {path}: {error.strerror}"
+            ) from None
+    if len(secret) < defaults.SECRET_BYTES_MIN:
+        raise exceptions.SettingsError(
+            f"{what} is missing or shorter than "
+            f"{defaults.SECRET_BYTES_MIN} bytes"
+        )
+    return secret
+
+
+def _split(value):
+    if isinstance(value, str):
+        return [part for part in value.split(",") if part]
+    # The flag parser turns a value with commas into a tuple.
+    return [str(part) for part in value]
--- /dev/null
+++ b/fescueyard/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Profiles, services, firms, customers and keys, as versioned objects."""
--- /dev/null
+++ b/fescueyard/configuration/state.py
@@ -0,0 +1,281 @@
+"""The replicated state machine of the configuration.
+
+Every control VM applies the same changes in the same order, so nothing here
+may depend on time, chance or settings.
+"""
+
+import collections
+import dataclasses
+import hashlib
+
+from fescueyard.configuration import messages
+from fescueyard.configuration import models
+from fescueyard.core import codes
+from fescueyard.core import wire
+
+JOURNAL_ROWS_MAX = 4_000
+CHANGE_IDS_MAX = 20_000
+
+
+@dataclasses.dataclass(slots=True)
+class Change:
+    """An operator's change of one object.
+
+    :param change_id: chosen by the operator; a resend carries the same.
+    :param operator: who asked.
+    :param kind: value of :class:`~fescueyard.configuration.models.Kind`.
+    :param name: the object's name.
+    :param expected_version: version of the object the operator saw; 0 when
+        it must not exist.
+    :param document: JSON; empty to retire the object.
+    """
+
+    change_id: str
+    operator: str
+    kind: str
+    name: str
+    expected_version: int
+    document: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class ChangeResult:
+    """What became of a change.
+
+    :param code: number of the result code.
+    :param version: version of the object afterwards, or as it stands.
+    :param detail: one sentence, empty on success.
+    """
+
+    code: int
+    version: int
+    detail: str
+
+
+@dataclasses.dataclass(slots=True)
+class KeptResult:
+    """The first answer to a change, kept for resends."""
+
+    change_id: str
+    digest: bytes
+    result: ChangeResult
+
+
+@dataclasses.dataclass(slots=True)
+class StateRecord:
+    """The state as it is written into a snapshot."""
+
+    cluster_id: str
+    version: int
+    objects: list[messages.ObjectVersion]
+    kept_results: list[KeptResult]
+
+
+class ConfigurationState:
+    """Tables of the configured objects.
+
+    :param cluster_id: identity of the cluster; empty when unknown.
+    """
+
+    def __init__(self, cluster_id=""):
+        self.cluster_id = cluster_id
+        self.version = 0
+        self.objects = {kind: {} for kind in models.Kind}
+        self.rows = {kind: {} for kind in models.Kind}
+        self.journal = collections.deque()
+        self.journal_floor = 0
+        self.kept_results = collections.OrderedDict()
+
+    def find(self, kind, name):
+        """Look up an object.
+
+        :param kind: :class:`~fescueyard.configuration.models.Kind`.
+        :param name: its name.
+        :returns: the validated object, or None.
+        """
+        return self.objects[kind].get(name)
+
+    def object_version(self, kind, name):
+        """Look up the version of an object.
+
+        :returns: the version; 0 when there is no such object.
+        """
+        row = self.rows[kind].get(name)
+        return row.version if row else 0
+
+    def put(self, row):
+        """Install one object version.
+
+        :param row: :class:`~fescueyard.configuration.messages.ObjectVersion`.
+        """
+        kind = models.Kind(row.kind)
+        if row.document:
+            self.objects[kind][row.name] = models.parse_document(
+                kind, row.document
+            )
+            self.rows[kind][row.name] = row
+        else:
+            self.objects[kind].pop(row.name, None)
+            self.rows[kind].pop(row.name, None)
+        self.version = max(self.version, row.version)
+
+    def remember(self, row):
+        """Add an object version to the journal of changes.
+
+        :param row: the object version just put.
+        """
+        self.journal.append(row)
+        if len(self.journal) > JOURNAL_ROWS_MAX:
+            self.journal_floor = self.journal.popleft().version
+
+    def forget_journal(self):
+        """Empty the journal after a whole configuration was installed."""
+        self.journal.clear()
+        self.journal_floor = self.version
+
+
+def apply_change(state, change, version):
+    """Apply a change.
+
+    :param state: :class:`ConfigurationState`, changed in place.
+    :param change: :class:`Change`.
+    :param version: version of the configuration if the change is taken.
+    :returns: :class:`ChangeResult`; a resend gets the first one again.
+    """
+    digest = hashlib.sha256(wire.encode_plain(change)).digest()
+    kept = state.kept_results.get(change.change_id)
+    if kept is not None:
+        if kept.digest == digest:
+            return kept.result
+        return _refusal(codes.CHANGE_ID_REUSED, 0)
+    result = _decide(state, change, version)
+    if result.code == codes.CHANGED.number:
+        row = messages.ObjectVersion(
+            change.kind, change.name, version, change.document
+        )
+        state.put(row)
+        state.remember(row)
+    _keep_result(state, KeptResult(change.change_id, digest, result))
+    return result
+
+
+def objects_since(state, version):
+    """List what changed after a version.
+
+    :param state: :class:`ConfigurationState`.
+    :param version: the asker's version.
+    :returns: list of object versions, or None when the journal does not
+        reach back so far and the whole configuration is needed.
+    """
+    if version < state.journal_floor:
+        return None
+    # The newest entries are at the right; askers are rarely far behind.
+    changed = []
+    for row in reversed(state.journal):
+        if row.version <= version:
+            break
+        changed.append(row)
+    changed.reverse()
+    return changed
+
+
+def all_objects(state):
+    """List every object in force.
+
+    :returns: list of object versions.
+    """
+    found = []
+    for rows in state.rows.values():
+        found.extend(rows.values())
+    return found
+
+
+def dump_state(state):
+    """Write the state for a snapshot.
+
+    :returns: bytes.
+    """
+    record = StateRecord(
+        state.cluster_id,
+        state.version,
+        all_objects(state),
+        list(state.kept_results.values()),
+    )
+    return wire.encode_plain(record)
+
+
+def load_state(payload):
+    """Read the state back from a snapshot.
+
+    :param payload: bytes made by :func:`dump_state`.
+    :returns: :class:`ConfigurationState`.
+    :raises StreamError: when the bytes are no state.
+    """
+    record = wire.decode_plain(StateRecord, payload)
+    state = ConfigurationState(record.cluster_id)
+    for row in record.objects:
+        state.put(row)
+    state.version = record.version
+    state.forget_journal()
+    for kept in record.kept_results:
+        state.kept_results[kept.change_id] = kept
+    return state
+
+
+def _decide(state, change, version):
+    kind = models.Kind(change.kind)
+    current = state.object_version(kind, change.name)
+    if current != change.expected_version:
+        if current == 0:
+            return _refusal(codes.UNKNOWN_OBJECT, 0)
+        return _refusal(codes.VERSION_CONFLICT, current)
+    if change.document:
+        value = models.parse_document(kind, change.document)
+        missing = _missing_reference(state, kind, value)
+        if missing:
+            return _refusal(codes.BROKEN_REFERENCE, current, missing)
+    else:
+        if current == 0:
+            return _refusal(codes.UNKNOWN_OBJECT, 0)
+        referrer = _referrer(state, kind, change.name)
+        if referrer:
+            return _refusal(codes.STILL_REFERRED_TO, current, referrer)
+    return ChangeResult(codes.CHANGED.number, version, "")
+
+
+def _missing_reference(state, kind, value):
+    for target_kind, name in _references(kind, value):
+        if state.find(target_kind, name) is None:
+            return f"no {target_kind.value} named {name!r}"
+    return ""
+
+
+def _references(kind, value):
+    if kind is models.Kind.SERVICE:
+        return [(models.Kind.PROFILE, value.profile)]
+    if kind is models.Kind.CUSTOMER:
+        found = [(models.Kind.FIRM, value.firm)]
+        for name in value.services:
+            found.append((models.Kind.SERVICE, name))
+        return found
+    if kind is models.Kind.KEY:
+        return [(models.Kind.CUSTOMER, value.customer)]
+    return []
+
+
+def _referrer(state, kind, name):
+    for other_kind, objects in state.objects.items():
+        for other_name, value in objects.items():
+            if (kind, name) in _references(other_kind, value):
+                return f"{other_kind.value} {other_name!r} refers to it"
+    return ""
+
+
+def _refusal(code, version, detail=""):
+    return ChangeResult(code.number, version, detail or code.title)
+
+
+def _keep_result(state, kept):
+    state.kept_results[kept.change_id] = kept
+    if len(state.kept_results) > CHANGE_IDS_MAX:
+        state.kept_results.popitem(last=False)
--- /dev/null
+++ b/fescueyard/control/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated, durable configuration and its administration API."""
--- /dev/null
+++ b/fescueyard/control/admin.py
@@ -0,0 +1,194 @@
+"""The administration API: HTTP and JSON for operators."""
+
+import dataclasses
+import json
+
+from werkzeug import exceptions as http_exceptions
+from werkzeug import routing
+
+from fescueyard.configuration import models
+from fescueyard.configuration import state as states
+from fescueyard.core import codes
+from fescueyard.core import exceptions
+from fescueyard.core import http
+from fescueyard.core import operators
+from fescueyard.core import problems
+
+CHANGE_ID_HEADER = "fescueyard-change-id"
+EXPECTED_VERSION_HEADER = "fescueyard-expected-version"
+RETRY_AFTER_MS = 1_000
+CHANGE_ID_LENGTH_MAX = 128
+
+_MAP = routing.Map(
+    [
+        routing.Rule("/v1/objects/<kind>", endpoint="list"),
+        routing.Rule("/v1/objects/<kind>/<name>", endpoint="object"),
+        routing.Rule("/v1/members", endpoint="members"),
+        routing.Rule("/v1/members/<member_id>", endpoint="member"),
+        routing.Rule("/v1/status", endpoint="status"),
+        routing.Rule("/v1/dump", endpoint="dump"),
+    ]
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadObjects:
+    """Read all objects of a kind, or one of them.
+
+    :param name: the object; None for all.
+    """
+
+    kind: models.Kind
+    name: str | None
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadStatus:
+    """Read the status of this control process."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadMembers:
+    """Read the control members and applicants."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadDump:
+    """Read the dump of this control process."""
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeObject:
+    """Change one object."""
+
+    change: states.Change
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeMember:
+    """Add or remove a control member."""
+
+    member_id: str
+    add: bool
+
+
+def parse(request, operator_rows):
+    """Turn an HTTP request into a command.
+
+    :param request: :class:`~fescueyard.core.http.HttpRequest`.
+    :param operator_rows: what ``operators.load`` returned.
+    :returns: one of the command classes above.
+    :raises FescueyardError: when the request is refused.
+    """
+    operator = _authenticate(request, operator_rows)
+    path = request.target.partition("?")[0]
+    try:
+        endpoint, values = _MAP.bind("control").match(path, "GET")
+    except (http_exceptions.HTTPException, routing.RequestRedirect):
+        raise exceptions.ChangeError(
+            f"no such resource: {path}", codes.UNKNOWN_OBJECT
+        ) from None
+    if endpoint == "object" and request.method in ("PUT", "DELETE"):
+        return ChangeObject(_parse_change(request, operator, **values))
+    if endpoint == "member" and request.method in ("PUT", "DELETE"):
+        return ChangeMember(values["member_id"], request.method == "PUT")
+    if request.method != "GET":
+        raise exceptions.ChangeError(f"method {request.method} not allowed")
+    return _parse_read(endpoint, values)
+
+
+def change_answer(result):
+    """Answer a change.
+
+    :param result: :class:`~fescueyard.configuration.state.ChangeResult`.
+    :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+    """
+    code = codes.by_number(result.code)
+    if code is codes.CHANGED:
+        return json_answer(
+            200, {"code": code.number, "version": result.version}
+        )
+    answer = problems.problem(code, result.detail, RETRY_AFTER_MS)
+    if result.version:
+        members = json.loads(answer.body)
+        members["version"] = result.version
+        answer.body = json.dumps(members).encode()
+    return answer
+
+
+def objects_answer(state, command):
+    """Answer a read of objects.
+
+    :param state: the configuration.
+    :param command: :class:`ReadObjects`.
+    :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+    """
+    rows = state.rows[command.kind]
+    if command.name is None:
+        listed = [_object_json(rows[name]) for name in sorted(rows)]
+        return json_answer(200, {"objects": listed})
+    row = rows.get(command.name)
+    if row is None:
+        return problems.problem(codes.UNKNOWN_OBJECT)
+    return json_answer(200, _object_json(row))
+
+
+def json_answer(status, value):
+    """Make an answer with a JSON body.
+
+    :param status: HTTP status.
+    :param value: what to write as JSON.
+    :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+    """
+    body = json.dumps(value).encode()
+    headers = [http.Header("content-type", "application/json")]
+    return http.HttpAnswer(status, headers, body)
+
+
+def _authenticate(request, operator_rows):
+    scheme, _, token = (request.header("authorization") or "").partition(" ")
+    operator = None
+    if scheme.lower() == "bearer":
+        operator = operators.find(operator_rows, token.strip())
+    if operator is None:
+        raise exceptions.ChangeError("", codes.NOT_AN_OPERATOR)
+    return operator
+
+
+def _parse_read(endpoint, values):
+    if endpoint == "list":
+        return ReadObjects(models.parse_kind(values["kind"]), None)
+    if endpoint == "object":
+        return ReadObjects(models.parse_kind(values["kind"]), values["name"])
+    if endpoint == "members":
+        return ReadMembers()
+    if endpoint == "status":
+        return ReadStatus()
+    if endpoint == "dump":
+        return ReadDump()
+    raise exceptions.ChangeError("", codes.UNKNOWN_OBJECT)
+
+
+def _parse_change(request, operator, kind, name):
+    parsed_kind = models.parse_kind(kind)
+    models.check_name(name)
+    change_id = request.header(CHANGE_ID_HEADER) or ""
+    if not 0 < len(change_id) <= CHANGE_ID_LENGTH_MAX:
+        raise exceptions.ChangeError(f"{CHANGE_ID_HEADER} is missing or long")
+    text = request.header(EXPECTED_VERSION_HEADER) or ""
+    if not text.isdigit():
+        raise exceptions.ChangeError(f"{EXPECTED_VERSION_HEADER} is no number")
+    document = b""
+    if request.method == "PUT":
+        value = models.parse_document(parsed_kind, request.body)
+        document = models.dump_document(parsed_kind, value)
+    return states.Change(change_id, operator, kind, name, int(text), document)
+
+
+def _object_json(row):
+    return {
+        "kind": row.kind,
+        "name": row.name,
+        "version": row.version,
+        "document": json.loads(row.document),
+    }
--- /dev/null
+++ b/fescueyard/control/app.py
@@ -0,0 +1,331 @@
+"""The control process: sockets, disk and clock around the control tables."""
+
+import asyncio
+import secrets
+
+from fescueyard.conf import settings as conf_settings
+from fescueyard.control import admin
+from fescueyard.control import consensus
+from fescueyard.control import models
+from fescueyard.control import storage as storages
+from fescueyard.control import systems
+from fescueyard.control import tables as control_tables
+from fescueyard.core import clock
+from fescueyard.core import codes
+from fescueyard.core import dumps
+from fescueyard.core import effects
+from fescueyard.core import exceptions
+from fescueyard.core import logs
+from fescueyard.core import operators
+from fescueyard.core import problems
+from fescueyard.transport import datagrams
+from fescueyard.transport import http_server
+from fescueyard.transport import streams
+
+LOG = logs.PartLogger("control")
+
+TICK_S = 0.02
+STOP_TIMEOUT_S = 5.0
+ADMIN_BODY_BYTES_MAX = 1024 * 1024
+
+
+class ControlProcess:
+    """One control VM's process.
+
+    :param settings: :class:`~fescueyard.conf.settings.ControlSettings`.
+    :param storage: the open data folder.
+    :param loaded: what it holds.
+    """
+
+    def __init__(self, settings, storage, loaded):
+        self.settings = settings
+        loop = asyncio.get_running_loop()
+        self.stopped = loop.create_future()
+        self._storage = storage
+        self._operators = operators.load(settings.operators_file)
+        own = models.Member(
+            loaded.member_id,
+            settings.address,
+            settings.admin_address,
+            settings.zone,
+            voter=False,
+        )
+        self._tables = control_tables.new_tables(
+            loaded,
+            own,
+            settings.region,
+            settings.control_addresses,
+            secrets.randbits(64),
+            clock.now_ms(),
+        )
+        secret = conf_settings.read_secret(
+            settings.cluster_secret,
+            settings.cluster_secret_file,
+            "cluster_secret",
+        )
+        self._datagrams = datagrams.DatagramSocket(secret, self)
+        self._pool = streams.StreamPool(loaded.member_id, secret, self)
+        self._admin = http_server.HttpServer(self, ADMIN_BODY_BYTES_MAX)
+        self._commands = {}
+        self._connections = {}
+        self._role = None
+        self._stopping_since_ms = None
+
+    async def start(self):
+        """Listen and start ticking."""
+        address = streams.parse_address(self.settings.address)
+        await self._pool.listen(address)
+        await self._datagrams.listen(address)
+        await self._admin.listen(
+            streams.parse_address(self.settings.admin_address)
+        )
+        LOG.info(
+            "Control started.",
+            member=self._tables.consensus.member_id,
+            zone=self.settings.zone,
+            version=self._tables.state.version,
+        )
+        self._tick()
+
+    def stop(self):
+        """Hand over the leadership, answer what is open, then stop."""
+        if self._stopping_since_ms is not None:
+            return
+        now_ms = clock.now_ms()
+        self._stopping_since_ms = now_ms
+        LOG.info("Control is stopping.")
+        consensus.hand_over(self._tables.consensus, now_ms)
+        self._settle(now_ms)
+
+    def dump(self):
+        """Write out the process's tables.
+
+        :returns: JSON text.
+        """
+        return dumps.render(self._tables)
+
+    # Callbacks of the streams.
+
+    def message_received(self, stream, message):
+        """Take in a message of another process."""
+        if not self._receive(message, stream.peer_id, stream):
+            stream.close()
+
+    def datagram_received(self, message):
+        """Take in a datagram."""
+        self._receive(message, "", None)
+
+    def stream_lost(self, stream):
+        """Streams to other control VMs are dialled again on demand."""
+
+    def message_unsent(self, address, message):
+        """Every message here is sent again or times out."""
+
+    # Callbacks of the administration API.
+
+    def request_received(self, exchange_id, request, connection):
+        """Take in an operator's request."""
+        self._connections[exchange_id] = connection
+        now_ms = clock.now_ms()
+        try:
+            command = admin.parse(request, self._operators)
+        except exceptions.FescueyardError as error:
+            answer = problems.problem(error.code, error.detail)
+            self._answer(exchange_id, answer)
+            return
+        self._commands[exchange_id] = command
+        origin = control_tables.LocalOrigin(exchange_id)
+        if isinstance(command, admin.ChangeObject):
+            systems.submit_change(self._tables, command.change, origin, now_ms)
+        elif isinstance(command, admin.ChangeMember):
+            systems.submit_members_change(
+                self._tables, command.member_id, command.add, origin, now_ms
+            )
+        elif isinstance(command, admin.ReadObjects):
+            systems.submit_read(self._tables, exchange_id, now_ms)
+        else:
+            self._answer(exchange_id, self._read_process(command, now_ms))
+        self._settle(now_ms)
+
+    def caller_left(self, exchange_id):
+        """Forget an operator who left; the change goes on."""
+        self._connections.pop(exchange_id, None)
+        self._commands.pop(exchange_id, None)
+
+    def _receive(self, message, peer_id, stream):
+        now_ms = clock.now_ms()
+        try:
+            systems.receive(message, self._tables, peer_id, stream, now_ms)
+        except exceptions.StreamError as error:
+            LOG.warning(
+                "Message refused.",
+                peer=peer_id,
+                code=error.code.number,
+                detail=error.detail,
+            )
+            return False
+        self._settle(now_ms)
+        return True
+
+    def _answer(self, exchange_id, answer):
+        connection = self._connections.pop(exchange_id, None)
+        self._commands.pop(exchange_id, None)
+        if connection is not None:
+            connection.answer(answer)
+
+    def _read_process(self, command, now_ms):
+        tables = self._tables
+        if isinstance(command, admin.ReadDump):
+            return admin.json_answer(200, {"dump": self.dump()})
+        agreement = tables.consensus
+        if isinstance(command, admin.ReadMembers):
+            members = [_member_json(row) for row in agreement.members]
+            applicants = [
+                _member_json(row.member) for row in tables.applicants.values()
+            ]
+            return admin.json_answer(
+                200, {"members": members, "applicants": applicants}
+            )
+        age_ms = systems.age_ms(tables, now_ms)
+        return admin.json_answer(
+            200,
+            {
+                "member_id": agreement.member_id,
+                "role": agreement.role.value,
+                "leader_id": agreement.leader_id,
+                "term": agreement.vote.term,
+                "version": tables.state.version,
+                "age_ms": age_ms if age_ms < 1e12 else None,
+                "streams": self._pool.stream_count(),
+            },
+        )
+
+    def _tick(self):
+        now_ms = clock.now_ms()
+        systems.tick(self._tables, now_ms)
+        self._settle(now_ms)
+        self._log_role()
+        if self._may_stop(now_ms):
+            self._finish()
+            return
+        asyncio.get_running_loop().call_later(TICK_S, self._tick)
+
+    def _settle(self, now_ms):
+        """Save, apply and send until nothing is left to do."""
+        tables = self._tables
+        agreement = tables.consensus
+        while True:
+            self._save()
+            consensus.saved(agreement, now_ms)
+            systems.settle(tables, now_ms)
+            if systems.wants_snapshot(tables):
+                systems.take_snapshot(tables)
+            if consensus.take_unsaved(agreement) is None:
+                break
+        self._send_outbox()
+        self._send_effects()
+        self._deliver_outcomes()
+
+    def _save(self):
+        unsaved = consensus.take_unsaved(self._tables.consensus)
+        if unsaved is None:
+            return
+        try:
+            # The loop waits for the disk on purpose: a member whose disk
+            # hangs must not keep its leadership by heartbeats alone.
+            self._storage.save(unsaved)
+        except OSError as error:
+            LOG.error("The data folder can't be written.", error=str(error))
+            raise SystemExit(1) from error
+
+    def _send_outbox(self):
+        agreement = self._tables.consensus
+        outbox = agreement.outbox
+        agreement.outbox = []
+        for outgoing in outbox:
+            member = consensus.find_member(agreement, outgoing.member_id)
+            if member is not None:
+                address = streams.parse_address(member.address)
+                self._pool.send(address, outgoing.message)
+
+    def _send_effects(self):
+        pending = self._tables.effects
+        self._tables.effects = []
+        for effect in pending:
+            if isinstance(effect, effects.SendMessage):
+                address = streams.parse_address(effect.address)
+                self._pool.send(address, effect.message)
+            elif isinstance(effect, effects.SendDatagram):
+                self._datagrams.send(effect.address, effect.message)
+            elif effect.stream is not None and effect.stream.ready:
+                effect.stream.send(effect.message)
+
+    def _deliver_outcomes(self):
+        outcomes = self._tables.outcomes
+        self._tables.outcomes = []
+        for outcome in outcomes:
+            if isinstance(outcome, control_tables.Settled):
+                answer = admin.change_answer(outcome.result)
+            elif outcome.fresh:
+                command = self._commands.get(outcome.exchange_id)
+                if command is None:
+                    continue
+                answer = admin.objects_answer(self._tables.state, command)
+            else:
+                answer = problems.problem(
+                    codes.NO_LEADER, retry_after_ms=admin.RETRY_AFTER_MS
+                )
+            self._answer(outcome.exchange_id, answer)
+
+    def _log_role(self):
+        role = self._tables.consensus.role
+        if role is not self._role:
+            self._role = role
+            LOG.info(
+                "Role changed.",
+                role=role.value,
+                term=self._tables.consensus.vote.term,
+            )
+
+    def _may_stop(self, now_ms):
+        if self._stopping_since_ms is None:
+            return False
+        waited_ms = now_ms - self._stopping_since_ms
+        if waited_ms > STOP_TIMEOUT_S * 1000:
+            return True
+        leads = self._tables.consensus.role is models.Role.LEADER
+        alone = len(self._tables.consensus.members) == 1
+        return not self._connections and (alone or not leads)
+
+    def _finish(self):
+        self._admin.close_when_idle()
+        self._pool.close()
+        self._datagrams.close()
+        self._storage.close()
+        LOG.info("Control stopped.")
+        self.stopped.set_result(None)
+
+
+async def start(settings):
+    """Open the data folder and start a control process.
+
+    :param settings: :class:`~fescueyard.conf.settings.ControlSettings`.
+    :returns: :class:`ControlProcess`.
+    :raises StorageError: when the data folder is new, in use or corrupt.
+    """
+    storage = storages.Storage(settings.data_folder)
+    if storage.is_new() and settings.join:
+        storage.create(lambda member_id: models.Snapshot(0, 0, [], b""))
+    process = ControlProcess(settings, storage, storage.load())
+    await process.start()
+    return process
+
+
+def _member_json(member):
+    return {
+        "member_id": member.member_id,
+        "address": member.address,
+        "admin_address": member.admin_address,
+        "zone": member.zone,
+        "voter": member.voter,
+    }
--- /dev/null
+++ b/fescueyard/core/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that every package shares: codes, errors, tables, clocks."""
--- /dev/null
+++ b/fescueyard/core/clock.py
@@ -0,0 +1,11 @@
+"""The process's one reading of time, taken at the edges only."""
+
+import time
+
+
+def now_ms():
+    """Read the monotonic clock, which also runs while the VM is suspended.
+
+    :returns: milliseconds as a float, from an arbitrary origin.
+    """
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) / 1e6
--- /dev/null
+++ b/fescueyard/core/dumps.py
@@ -0,0 +1,59 @@
+"""Dumps of a process's tables as JSON, without secrets or bodies."""
+
+import collections
+import dataclasses
+import enum
+import json
+import random
+
+ITEMS_MAX = 200
+_HIDDEN = frozenset({"body", "document", "headers", "sha256", "secret"})
+
+
+def render(value):
+    """Write a table as JSON.
+
+    :param value: data classes, dicts, lists and plain values.
+    :returns: text.
+    """
+    return json.dumps(_plain(value), indent=1, sort_keys=True)
+
+
+def _plain(value):
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return _plain_fields(value)
+    if isinstance(value, enum.Enum):
+        return value.value
+    if isinstance(value, dict):
+        return _plain_dict(value)
+    if isinstance(value, (list, tuple, set, frozenset, collections.deque)):
+        items = [_plain(item) for item in list(value)[:ITEMS_MAX]]
+        if len(value) > ITEMS_MAX:
+            items.append(f"{len(value) - ITEMS_MAX} more")
+        return items
+    if isinstance(value, bytes):
+        return f"{len(value)} bytes"
+    if isinstance(value, float) and value in (float("inf"), float("-inf")):
+        return str(value)
+    if value is None or isinstance(value, (str, int, float, bool)):
+        return value
+    if isinstance(value, random.Random):
+        return "random generator"
+    return type(value).__name__
+
+
+def _plain_fields(value):
+    found = {}
+    for field in dataclasses.fields(value):
+        if field.name not in _HIDDEN:
+            found[field.name] = _plain(getattr(value, field.name))
+    return found
+
+
+def _plain_dict(value):
+    found = {}
+    for key in list(value)[:ITEMS_MAX]:
+        found[str(_plain(key))] = _plain(value[key])
+    if len(value) > ITEMS_MAX:
+        found["..."] = f"{len(value) - ITEMS_MAX} more"
+    return found
--- /dev/null
+++ b/fescueyard/core/effects.py
@@ -0,0 +1,89 @@
+"""What a deciding function wants done; the edges carry it out."""
+
+import dataclasses
+
+from fescueyard.core import http
+
+
+@dataclasses.dataclass(slots=True)
+class SendMessage:
+    """Send a message over the stream to an address.
+
+    :param address: ``host:port`` of the process.
+    :param message: a registered message.
+    """
+
+    address: str
+    message: object
+
+
+@dataclasses.dataclass(slots=True)
+class SendReply:
+    """Send a message back over the stream that another came by.
+
+    :param stream: handle of the stream.
+    :param message: a registered message.
+    """
+
+    stream: object
+    message: object
+
+
+@dataclasses.dataclass(slots=True)
+class SendDatagram:
+    """Send a message as one datagram.
+
+    :param address: ``host:port`` of the process.
+    :param message: a registered message.
+    """
+
+    address: str
+    message: object
+
+
+@dataclasses.dataclass(slots=True)
+class DropStream:
+    """Close the stream to a process that is gone.
+
+    :param address: ``host:port`` of the process.
+    """
+
+    address: str
+
+
+@dataclasses.dataclass(slots=True)
+class AnswerCaller:
+    """Answer an HTTP exchange.
+
+    :param exchange_id: the exchange.
+    :param answer: the whole answer.
+    """
+
+    exchange_id: int
+    answer: http.HttpAnswer
+
+
+@dataclasses.dataclass(slots=True)
+class StartRun:
+    """Send a request to the VM's backend server.
+
+    :param run_id: the run.
+    :param address: ``host:port`` of the backend server.
+    :param request: the request.
+    :param idempotent: whether running twice does no harm.
+    """
+
+    run_id: int
+    address: str
+    request: http.HttpRequest
+    idempotent: bool
+
+
+@dataclasses.dataclass(slots=True)
+class AbortRun:
+    """Break a run off.
+
+    :param run_id: the run.
+    """
+
+    run_id: int
--- /dev/null
+++ b/fescueyard/core/ids.py
@@ -0,0 +1,12 @@
+"""Random identifiers."""
+
+import secrets
+
+
+def new_id(prefix=""):
+    """Make an identifier with 96 random bits.
+
+    :param prefix: text put in front.
+    :returns: the identifier.
+    """
+    return prefix + secrets.token_hex(12)
--- /dev/null
+++ b/fescueyard/core/operators.py
@@ -0,0 +1,70 @@
+"""Operators' tokens: only their hashes are kept."""
+
+import hashlib
+import hmac
+import re
+import secrets
+
+from fescueyard.core import exceptions
+
+_LINE = re.compile(r"([A-Za-z0-9._-]+)\s+([0-9a-f]{64})")
+
+
+def new_token():
+    """Make an operator's token.
+
+    :returns: text.
+    """
+    return "fyo_" + secrets.token_urlsafe(32)
+
+
+def token_line(name, token):
+    """Make the line of the operators file for a token.
+
+    :param name: the operator's name.
+    :param token: the token.
+    :returns: text.
+    """
+    return f"{name} {hashlib.sha256(token.encode()).hexdigest()}"
+
+
+def load(path):
+    """Read an operators file.
+
+    :param path: its path.
+    :returns: list of pairs of name and SHA-256 in hexadecimal.
+    :raises SettingsError: when it can't be read or has a bad line.
+    """
+    try:
+        with open(path, encoding="utf-8") as file:
+            lines = file.read().splitlines()
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"can't read operators file {path!r}: {error.strerror}"
+        ) from None
+    found = []
+    for number, line in enumerate(lines, 1):
+        if not line.strip() or line.startswith("#"):
+            continue
+        match = _LINE.fullmatch(line.strip())
+        if match is None:
+            raise exceptions.SettingsError(
+                f"operators file {path!r}: bad line {number}"
+            )
+        found.append(match.groups())
+    return found
+
+
+def find(operators, token):
+    """Find the operator who holds a token.
+
+    :param operators: what :func:`load` returned.
+    :param token: the token shown.
+    :returns: the operator's name, or None.
+    """
+    given = hashlib.sha256(token.encode()).hexdigest()
+    found = None
+    for name, sha256 in operators:
+        if hmac.compare_digest(sha256, given):
+            found = name
+    return found
--- /dev/null
+++ b/fescueyard/core/wire.py
@@ -0,0 +1,178 @@
+"""Codec between typed messages and msgpack arrays.
+
+A message is a data class registered under a number. It travels as an array
+of the number and the field values in order; data classes inside lists travel
+as arrays of their own.
+"""
+
+import dataclasses
+import typing
+
+import msgpack
+
+from fescueyard.core import codes
+from fescueyard.core import exceptions
+
+_BY_NUMBER = {}
+_MAX_DEPTH = 4
+
+
+@dataclasses.dataclass(frozen=True)
+class _Field:
+    name: str
+    types: tuple
+    item: type | None
+    nested: type | None
+
+
+def message(number):
+    """Register a data class as a message.
+
+    :param number: the message's number on the wire.
+    :returns: a class decorator.
+    :raises ValueError: when the number is taken.
+    """
+
+    def register(cls):
+        if number in _BY_NUMBER:
+            raise ValueError(f"message number {number} defined twice")
+        cls.wire_number = number
+        _BY_NUMBER[number] = cls
+        return cls
+
+    return register
+
+
+def encode(value):
+    """Encode a message.
+
+    :param value: a registered data class instance.
+    :returns: bytes.
+    """
+    return msgpack.packb([value.wire_number, _flatten(value)])
+
+
+def decode(payload):
+    """Decode and check a message.
+
+    :param payload: bytes made by :func:`encode`.
+    :returns: the message.
+    :raises StreamError: when the bytes are no valid message.
+    """
+    try:
+        number, values = msgpack.unpackb(payload)
+        cls = _BY_NUMBER[number]
+    except (ValueError, TypeError, KeyError, msgpack.UnpackException) as error:
+        raise _bad(f"undecodable message: {error!r}") from error
+    return _build(cls, values, 0)
+
+
+def encode_plain(value):
+    """Encode a data class that needs no number, for use on disk.
+
+    :param value: a data class instance.
+    :returns: bytes.
+    """
+    return msgpack.packb(_flatten(value))
+
+
+def decode_plain(cls, payload):
+    """Decode bytes made by :func:`encode_plain`.
+
+    :param cls: the data class.
+    :param payload: the bytes.
+    :returns: an instance of ``cls``.
+    :raises StreamError: when the bytes don't fit the class.
+    """
+    try:
+        values = msgpack.unpackb(payload)
+    except (ValueError, msgpack.UnpackException) as error:
+        raise _bad(f"undecodable record: {error!r}") from error
+    return _build(cls, values, 0)
+
+
+def _flatten(value):
+    values = []
+    for field in _fields(type(value)):
+        item = getattr(value, field.name)
+        if field.nested and item is not None:
+            item = _flatten(item)
+        elif field.item:
+            item = [_flatten(entry) for entry in item]
+        values.append(item)
+    return values
+
+
+def _build(cls, values, depth):
+    fields = _fields(cls)
+    if not isinstance(values, list) or len(values) != len(fields):
+        raise _bad(f"{cls.__name__}: wrong number of fields")
+    if depth > _MAX_DEPTH:
+        raise _bad(f"{cls.__name__}: nested too deeply")
+    built = []
+    for field, value in zip(fields, values):
+        built.append(_build_field(cls, field, value, depth))
+    return cls(*built)
+
+
+def _build_field(cls, field, value, depth):
+    if field.nested and value is not None:
+        return _build(field.nested, value, depth + 1)
+    if field.types and not isinstance(value, field.types):
+        raise _bad(f"{cls.__name__}.{field.name}: wrong type")
+    if field.item:
+        return [_build(field.item, entry, depth + 1) for entry in value]
+    return value
+
+
+_FIELD_CACHE = {}
+
+
+def _fields(cls):
+    fields = _FIELD_CACHE.get(cls)
+    if fields is None:
+        fields = _describe(cls)
+        _FIELD_CACHE[cls] = fields
+    return fields
+
+
+def _describe(cls):
+    hints = typing.get_type_hints(cls)
+    fields = []
+    for field in dataclasses.fields(cls):
+        fields.append(_describe_field(field.name, hints[field.name]))
+    return fields
+
+
+def _describe_field(name, hint):
+    types = []
+    item = None
+    nested = None
+    for option in typing.get_args(hint) if _is_union(hint) else (hint,):
+        origin = typing.get_origin(option) or option
+        if origin is list:
+            item = _dataclass_or_none(typing.get_args(option)[0])
+        elif dataclasses.is_dataclass(origin):
+            nested = origin
+        types.append(origin)
+    if float in types:
+        types.append(int)
+    if typing.Any in types:
+        types = []
+    return _Field(name, tuple(types), item, nested)
+
+
+def _is_union(hint):
+    return (
+        typing.get_origin(hint) is not None
+        and hasattr(hint, "__or__")
+        and type(None) in typing.get_args(hint)
+    )
+
+
+def _dataclass_or_none(hint):
+    return hint if dataclasses.is_dataclass(hint) else None
+
+
+def _bad(detail):
+    return exceptions.StreamError(detail, codes.BAD_FRAME)
--- /dev/null
+++ b/fescueyard/ingress/models.py
@@ -0,0 +1,84 @@
+"""Tables of the calls that entered at this node."""
+
+import dataclasses
+import enum
+
+from fescueyard.core import http
+from fescueyard.retries import messages as retry_messages
+
+
+class Stage(enum.Enum):
+    """What a call waits for."""
+
+    RATE = "rate"
+    CLAIM = "claim"
+    ATTEMPT = "attempt"
+    RETRY = "retry"
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptRow:
+    """One try of a call at one backend server's node.
+
+    :param attempt_id: never used again in the life of the process.
+    :param node_id: the node.
+    :param address: ``host:port`` of its streams.
+    :param started_at_ms: when it was sent.
+    """
+
+    attempt_id: int
+    call_id: int
+    node_id: str
+    address: str
+    started_at_ms: float
+
+
+@dataclasses.dataclass(slots=True)
+class CallRow:
+    """A call that waits for its answer.
+
+    :param exchange_id: HTTP exchange to answer.
+    :param request: cleaned request.
+    :param idempotency_key: of the caller; empty for none.
+    :param parent_run_id: run whose backend server called; None for a caller
+        from outside.
+    :param tried: nodes that had the call.
+    :param attempt: the try under way, or None.
+    :param doubt_code: result code of an attempt that may have run; 0 for
+        none.
+    """
+
+    call_id: int
+    exchange_id: int
+    service: str
+    request: http.HttpRequest
+    idempotent: bool
+    idempotency_key: str
+    customer: str
+    key_id: str
+    priority: int
+    started_at_ms: float
+    deadline_at_ms: float
+    chain: retry_messages.Chain
+    fingerprint: bytes
+    parent_run_id: int | None
+    stage: Stage = Stage.RATE
+    tried: set[str] = dataclasses.field(default_factory=set)
+    tries: int = 0
+    attempt: AttemptRow | None = None
+    claim_id: bytes = b""
+    caller_left: bool = False
+    last_code: int = 0
+    doubt_code: int = 0
+    last_retry_after_ms: float = 0.0
+
+
+@dataclasses.dataclass
+class CallTable:
+    """Calls and attempts under way at this node."""
+
+    rows: dict[int, CallRow] = dataclasses.field(default_factory=dict)
+    by_exchange: dict[int, int] = dataclasses.field(default_factory=dict)
+    attempts: dict[int, AttemptRow] = dataclasses.field(default_factory=dict)
+    last_call_id: int = 0
+    last_attempt_id: int = 0
--- /dev/null
+++ b/fescueyard/ingress/parsing.py
@@ -0,0 +1,168 @@
+"""Reads a caller's request: service, deadline, priority, call token."""
+
+import dataclasses
+import hashlib
+
+from fescueyard.admission import systems as admission
+from fescueyard.configuration import models as configuration_models
+from fescueyard.core import codes
+from fescueyard.core import exceptions
+from fescueyard.ingress import models
+from fescueyard.keys import systems as keys
+from fescueyard.retries import messages as retry_messages
+from fescueyard.retries import systems as retries
+
+IDEMPOTENCY_HEADER = "idempotency-key"
+IDEMPOTENCY_KEY_LENGTH_MAX = 255
+DEADLINE_MS_MAX = 86_400_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Context:
+    """What a call inherits from the run it is part of, or starts with."""
+
+    identity: keys.Identity
+    priority: int
+    deadline_at_ms: float
+    chain: retry_messages.Chain
+    parent_run_id: int | None
+
+
+def parse(tables, exchange_id, request, from_backend, now_ms):
+    """Turn a request into a call.
+
+    :param tables: the node's tables.
+    :param exchange_id: HTTP exchange.
+    :param request: :class:`~fescueyard.core.http.HttpRequest`.
+    :param from_backend: it came by the backend server's listener.
+    :param now_ms: the present time.
+    :returns: :class:`~fescueyard.ingress.models.CallRow`.
+    :raises RequestError: when the request is refused.
+    """
+    name, target = _split_target(request.target)
+    service, profile = _find_service(tables, name)
+    token = request.header(admission.TOKEN_HEADER) if from_backend else None
+    if token:
+        context = _inherit(tables, token, request, profile, now_ms)
+    else:
+        context = _begin(tables, service, profile, request, target, now_ms)
+    _check_allowed(tables, context.identity.customer, name)
+    cleaned = keys.clean(request, target)
+    table = tables.calls
+    table.last_call_id += 1
+    return models.CallRow(
+        call_id=table.last_call_id,
+        exchange_id=exchange_id,
+        service=name,
+        request=cleaned,
+        idempotent=request.method in service.idempotent_methods,
+        idempotency_key=_idempotency_key(request),
+        customer=context.identity.customer,
+        key_id=context.identity.key_id,
+        priority=context.priority,
+        started_at_ms=now_ms,
+        deadline_at_ms=context.deadline_at_ms,
+        chain=context.chain,
+        fingerprint=_fingerprint(name, cleaned, context.identity.customer),
+        parent_run_id=context.parent_run_id,
+    )
+
+
+def _split_target(target):
+    if not target.startswith("/"):
+        raise exceptions.RequestError("the target is no path")
+    name, slash, rest = target[1:].partition("/")
+    if not slash:
+        name, question, query = name.partition("?")
+        return name, "/" + question + query
+    return name, "/" + rest
+
+
+def _find_service(tables, name):
+    state = tables.configuration.state
+    service = state.find(configuration_models.Kind.SERVICE, name)
+    if service is None:
+        if not state.cluster_id:
+            raise exceptions.RequestError("", codes.STALE_CONFIGURATION)
+        raise exceptions.RequestError("", codes.UNKNOWN_SERVICE)
+    profile = state.find(configuration_models.Kind.PROFILE, service.profile)
+    return service, profile
+
+
+def _begin(tables, service, profile, request, target, now_ms):
+    """Start a chain for a caller from outside."""
+    path = target.partition("?")[0]
+    identity = keys.identify(tables, service, request, path, now_ms)
+    deadline_ms = _number(
+        request, admission.DEADLINE_HEADER, profile.deadline_default_ms
+    )
+    deadline_ms = min(deadline_ms, profile.deadline_max_ms)
+    priority = _number(
+        request, admission.PRIORITY_HEADER, profile.priority_default
+    )
+    priority = max(min(priority, 7), profile.priority_ceiling)
+    chain_id = f"{tables.secure_random.getrandbits(96):x}"
+    chain = retry_messages.Chain(chain_id, tables.members.own.address, 1)
+    deadline_at_ms = now_ms + deadline_ms
+    retries.open_ledger(
+        tables, chain_id, profile.retry_allowance, deadline_at_ms
+    )
+    return _Context(identity, priority, deadline_at_ms, chain, None)
+
+
+def _inherit(tables, token, request, profile, now_ms):
+    """Go on with the chain of the run that a call token stands for."""
+    run = admission.find_running(tables, token)
+    if run is None:
+        raise exceptions.RequestError("", codes.TOKEN_REFUSED)
+    forward = run.forward
+    depth = forward.chain.depth + 1
+    if depth > profile.depth_max:
+        raise exceptions.RequestError("", codes.TOO_DEEP)
+    left_ms = run.deadline_at_ms - now_ms
+    deadline_ms = _number(request, admission.DEADLINE_HEADER, left_ms)
+    priority = _number(request, admission.PRIORITY_HEADER, forward.priority)
+    return _Context(
+        keys.Identity(forward.customer, forward.key_id),
+        max(min(priority, 7), forward.priority, profile.priority_ceiling),
+        now_ms + min(deadline_ms, left_ms),
+        dataclasses.replace(forward.chain, depth=depth),
+        run.run_id,
+    )
+
+
+def _check_allowed(tables, customer_name, service_name):
+    state = tables.configuration.state
+    customer = state.find(configuration_models.Kind.CUSTOMER, customer_name)
+    if customer is None or not customer.services:
+        return
+    if service_name not in customer.services:
+        raise exceptions.RequestError("", codes.SERVICE_FORBIDDEN)
+
+
+def _number(request, name, default):
+    text = request.header(name)
+    if text is None:
+        return default
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise exceptions.RequestError(
+            f"{name} is no whole number", codes.BAD_HEADER
+        )
+    return min(int(text), DEADLINE_MS_MAX)
+
+
+def _idempotency_key(request):
+    key = request.header(IDEMPOTENCY_HEADER) or ""
+    if len(key) > IDEMPOTENCY_KEY_LENGTH_MAX:
+        raise exceptions.RequestError(
+            f"{IDEMPOTENCY_HEADER} is too long", codes.BAD_HEADER
+        )
+    return key
+
+
+def _fingerprint(service, request, customer):
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (customer, service, request.method, request.target):
+        digest.update(part.encode() + b"\0")
+    digest.update(request.body)
+    return digest.digest()
--- /dev/null
+++ b/fescueyard/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Customer keys: hashing, lookup and freshness."""
--- /dev/null
+++ b/fescueyard/keys/systems.py
@@ -0,0 +1,126 @@
+"""Who a request runs for: the customer of the key that came with it."""
+
+import dataclasses
+import hashlib
+import re
+
+from fescueyard.configuration import models as configuration_models
+from fescueyard.configuration import replica
+from fescueyard.core import codes
+from fescueyard.core import exceptions
+
+KEY_HEADER = "authorization"
+# Keys have this form, so that one in the wrong place is recognised too.
+KEY_PATTERN = re.compile(r"fyk_[A-Za-z0-9_-]{20,}")
+_KEY_BYTES_PATTERN = re.compile(rb"fyk_[A-Za-z0-9_-]{20,}")
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    }
+)
+_OWN_PREFIX = "fescueyard-"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Identity:
+    """Whom a request runs for.
+
+    :param customer: name of the customer; empty on an open route.
+    :param key_id: name of the key; empty on an open route.
+    """
+
+    customer: str
+    key_id: str
+
+
+ANYONE = Identity("", "")
+
+
+def identify(tables, service, request, path, now_ms):
+    """Find the customer of a caller's request.
+
+    :param tables: the node's tables.
+    :param service: :class:`~fescueyard.configuration.models.Service`.
+    :param request: :class:`~fescueyard.core.http.HttpRequest`.
+    :param path: path within the service.
+    :param now_ms: the present time.
+    :returns: :class:`Identity`.
+    :raises RequestError: when the route needs a key and there is none, or
+        the key is unknown, withdrawn or can't be confirmed.
+    """
+    if _is_open(service, path):
+        return ANYONE
+    key = _key_of(request)
+    if not key:
+        raise exceptions.RequestError("", codes.KEY_MISSING)
+    state = tables.configuration.state
+    profile = state.find(configuration_models.Kind.PROFILE, service.profile)
+    age_ms = replica.age_ms(tables.configuration, now_ms)
+    if age_ms > profile.key_staleness_max_ms:
+        raise exceptions.RequestError("", codes.STALE_CONFIGURATION)
+    # Only the hash of a key is looked up, so timing tells nothing of it.
+    sha256 = hashlib.sha256(key.encode()).hexdigest()
+    key_id = tables.configuration.keys_by_sha256.get(sha256)
+    if key_id is None:
+        raise exceptions.RequestError("", codes.KEY_REFUSED)
+    row = state.find(configuration_models.Kind.KEY, key_id)
+    return Identity(row.customer, key_id)
+
+
+def clean(request, target):
+    """Make the request that may cross to other processes.
+
+    Keys, the caller's fescueyard headers and hop-by-hop headers are removed.
+
+    :param request: the caller's request.
+    :param target: path and query within the service.
+    :returns: :class:`~fescueyard.core.http.HttpRequest`.
+    :raises RequestError: when the target or body holds a key.
+    """
+    if KEY_PATTERN.search(target) or _KEY_BYTES_PATTERN.search(request.body):
+        raise exceptions.RequestError(
+            "a key belongs in the Authorization header only"
+        )
+    headers = []
+    for header in request.headers:
+        if _may_pass(header):
+            headers.append(header)
+    return dataclasses.replace(request, target=target, headers=headers)
+
+
+def clean_answer_headers(headers):
+    """Drop what must not go back to the caller.
+
+    :param headers: headers of the backend server's answer.
+    :returns: list of headers.
+    """
+    return [header for header in headers if _may_pass(header)]
+
+
+def _is_open(service, path):
+    for prefix in service.open_routes:
+        if path == prefix or path.startswith(prefix.rstrip("/") + "/"):
+            return True
+    return False
+
+
+def _key_of(request):
+    scheme, _, key = (request.header(KEY_HEADER) or "").partition(" ")
+    return key.strip() if scheme.lower() == "bearer" else ""
+
+
+def _may_pass(header):
+    if header.name in _HOP_BY_HOP or header.name == KEY_HEADER:
+        return False
+    if header.name.startswith(_OWN_PREFIX):
+        return False
+    return not KEY_PATTERN.search(header.value)
--- /dev/null
+++ b/fescueyard/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Rate and burst of a customer over the whole fleet."""
--- /dev/null
+++ b/fescueyard/limits/messages.py
@@ -0,0 +1,70 @@
+"""Messages that hand tokens down from the fleet to zones and nodes."""
+
+import dataclasses
+
+from fescueyard.core import wire
+
+
+@dataclasses.dataclass(slots=True)
+class TokenWish:
+    """What a holder has and wants of one customer's tokens.
+
+    :param customer: name of the customer.
+    :param held: tokens it holds now, those it granted on included.
+    :param returned: tokens it gives back with this question.
+    :param wanted: tokens it wants more.
+    """
+
+    customer: str
+    held: int
+    returned: int
+    wanted: int
+
+
+@dataclasses.dataclass(slots=True)
+class TokenGrant:
+    """What a holder got of one customer's tokens.
+
+    :param customer: name of the customer.
+    :param granted: tokens granted.
+    :param exhausted: the grantor has no more, and neither has who is above.
+    :param retry_after_ms: when there may be a token again.
+    :param lifetime_ms: from the time of the question, how long these and
+        the holder's other tokens may be used.
+    """
+
+    customer: str
+    granted: int
+    exhausted: bool
+    retry_after_ms: float
+    lifetime_ms: float
+
+
+@wire.message(70)
+@dataclasses.dataclass(slots=True)
+class TokenAsk:
+    """A holder's question to its grantor.
+
+    :param question_id: grows; an answer to an earlier one is void.
+    :param holder_id: the holder, another one after each start.
+    :param to_fleet: meant for the fleet's grantor and not for a zone's.
+    """
+
+    question_id: int
+    holder_id: str
+    to_fleet: bool
+    wishes: list[TokenWish]
+
+
+@wire.message(71)
+@dataclasses.dataclass(slots=True)
+class TokenAnswer:
+    """Answers a :class:`TokenAsk`.
+
+    :param in_charge: whether the sender is the grantor asked for.
+    """
+
+    question_id: int
+    to_fleet: bool
+    in_charge: bool
+    grants: list[TokenGrant]
--- /dev/null
+++ b/fescueyard/limits/models.py
@@ -0,0 +1,122 @@
+"""Tables of tokens: at the fleet's grantor, a zone's grantor and a node."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class HeldRow:
+    """What a grantor knows to be held below it.
+
+    :param tokens: most the holder may still spend.
+    :param expires_at_ms: the holder stops using them before this.
+    :param question_id: latest question answered.
+    """
+
+    tokens: int
+    expires_at_ms: float
+    question_id: int
+
+
+@dataclasses.dataclass
+class FleetBucket:
+    """The one bucket of a customer, at the control leader.
+
+    :param level: tokens not handed out.
+    :param refilled_at_ms: time up to which the rate was added.
+    :param held: rows of :class:`HeldRow` by holder.
+    """
+
+    level: float
+    refilled_at_ms: float
+    held: dict[str, HeldRow] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass
+class FleetTable:
+    """Buckets of all customers.
+
+    :param term: term of the leader; 0 before the first.
+    :param in_charge_since_ms: when it took office.
+    """
+
+    buckets: dict[str, FleetBucket] = dataclasses.field(default_factory=dict)
+    term: int = 0
+    in_charge_since_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class Link:
+    """The questions of a holder to one grantor, one at a time.
+
+    :param question_id: latest question.
+    :param asked_at_ms: when it was sent; None when it was answered.
+    :param ask_due_ms: when the next question may be sent.
+    :param report_due_ms: when one that only reports may be sent.
+    :param failed_until_ms: the grantor is passed over until then.
+    """
+
+    question_id: int = 0
+    asked_at_ms: float | None = None
+    ask_due_ms: float = 0.0
+    report_due_ms: float = 0.0
+    failed_until_ms: float = float("-inf")
+
+
+@dataclasses.dataclass
+class Holding:
+    """Tokens of one customer that this process may spend or grant on.
+
+    :param tokens: how many.
+    :param expires_at_ms: they are void from then on.
+    :param granted: rows of :class:`HeldRow` by holder below.
+    :param wanted: tokens that waiting calls and holders need now.
+    :param demand_per_s: tokens asked for of late.
+    :param demand_at_ms: time up to which the demand was aged.
+    :param exhausted_until_ms: the grantor above has none before this.
+    :param reported_held: what the grantor above was told last.
+    """
+
+    tokens: int = 0
+    expires_at_ms: float = float("-inf")
+    granted: dict[str, HeldRow] = dataclasses.field(default_factory=dict)
+    wanted: int = 0
+    demand_per_s: float = 0.0
+    demand_at_ms: float = 0.0
+    exhausted_until_ms: float = float("-inf")
+    reported_held: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class WaitingCall:
+    """A call that waits for a token.
+
+    :param since_ms: when it came.
+    """
+
+    call_id: int
+    since_ms: float
+
+
+@dataclasses.dataclass
+class LimitTable:
+    """A node's tokens.
+
+    :param pools: what this node holds as its zone's grantor, by customer.
+    :param holdings: what it holds for its own calls, by customer.
+    :param waiting: calls that wait, by customer, oldest first.
+    :param links: rows of :class:`Link` by grantor's address; the fleet's
+        grantor has the key of :data:`FLEET_LINK`.
+    """
+
+    pools: dict[str, Holding] = dataclasses.field(default_factory=dict)
+    holdings: dict[str, Holding] = dataclasses.field(default_factory=dict)
+    waiting: dict[str, list[WaitingCall]] = dataclasses.field(
+        default_factory=dict
+    )
+    links: dict[str, Link] = dataclasses.field(default_factory=dict)
+    grantors: dict[int, str] = dataclasses.field(default_factory=dict)
+    grantors_version: int = -1
+    control_turn: int = 0
+
+
+FLEET_LINK = "fleet"
--- /dev/null
+++ b/fescueyard/management/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/fescueyard/management/client.py
@@ -0,0 +1,148 @@
+"""Blocking client of the administration API, for the command line."""
+
+import io
+import json
+import time
+
+import pycurl
+
+from fescueyard.conf import settings as conf_settings
+from fescueyard.control import admin
+from fescueyard.core import codes
+from fescueyard.core import exceptions
+from fescueyard.core import http
+from fescueyard.core import ids
+
+TRY_TIMEOUT_MS = 4_000
+RETRY_PAUSE_MS = 200
+
+
+class Unreachable(exceptions.FescueyardError):
+    """No process answered at an address."""
+
+    code = codes.PEER_UNREACHABLE
+
+
+class Refused(exceptions.FescueyardError):
+    """The administration API refused a request.
+
+    :param members: the problem details.
+    """
+
+    def __init__(self, members):
+        code = codes.by_number(members.get("code", codes.BAD_CHANGE.number))
+        super().__init__(members.get("detail", ""), code)
+        self.version = members.get("version", 0)
+
+
+def fetch(method, url, headers, body, timeout_ms):
+    """Run one HTTP request and wait for the answer.
+
+    :param method: HTTP method.
+    :param url: whole URL.
+    :param headers: list of :class:`~fescueyard.core.http.Header`.
+    :param body: body bytes.
+    :param timeout_ms: how long to wait.
+    :returns: :class:`~fescueyard.core.http.HttpAnswer` without headers.
+    :raises Unreachable: when there is no whole answer.
+    """
+    curl = pycurl.Curl()
+    received = io.BytesIO()
+    curl.setopt(pycurl.URL, url)
+    curl.setopt(pycurl.PROXY, "")
+    curl.setopt(pycurl.NOSIGNAL, 1)
+    curl.setopt(pycurl.TIMEOUT_MS, int(timeout_ms))
+    curl.setopt(pycurl.CUSTOMREQUEST, method)
+    if body:
+        curl.setopt(pycurl.POSTFIELDS, body)
+    curl.setopt(
+        pycurl.HTTPHEADER, [f"{row.name}: {row.value}" for row in headers]
+    )
+    curl.setopt(pycurl.WRITEDATA, received)
+    try:
+        curl.perform()
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+    except pycurl.error as error:
+        raise Unreachable(f"{url}: {error.args[1]}") from None
+    finally:
+        curl.close()
+    return http.HttpAnswer(status, [], received.getvalue())
+
+
+class AdminClient:
+    """Sends changes and reads, trying one address after the other.
+
+    A change is sent again with the same change id, so it takes effect once.
+
+    :param settings: :class:`~fescueyard.conf.settings.OperatorSettings`.
+    """
+
+    def __init__(self, settings):
+        self._addresses = settings.admin_addresses
+        self._timeout_ms = settings.timeout_ms
+        token = conf_settings.read_secret(
+            settings.operator_token,
+            settings.operator_token_file,
+            "operator_token",
+        )
+        self._token = token.decode()
+
+    def read(self, path):
+        """Read a resource.
+
+        :param path: path under the API.
+        :returns: the JSON value.
+        :raises Refused: when the API refuses.
+        :raises Unreachable: when no control process answers in time.
+        """
+        return self._request("GET", path, [], b"")
+
+    def change(self, method, path, document, expected_version, change_id=""):
+        """Change an object.
+
+        :param method: ``PUT`` or ``DELETE``.
+        :param path: path under the API.
+        :param document: JSON bytes.
+        :param expected_version: version the change is based on.
+        :param change_id: id of the change; made up when empty.
+        :returns: the JSON value.
+        :raises Refused: when the API refuses.
+        :raises Unreachable: when the outcome stayed unknown.
+        """
+        change_id = change_id or ids.new_id("ch-")
+        headers = [
+            http.Header(admin.CHANGE_ID_HEADER, change_id),
+            http.Header(admin.EXPECTED_VERSION_HEADER, str(expected_version)),
+        ]
+        return self._request(method, path, headers, document)
+
+    def _request(self, method, path, headers, body):
+        headers = headers + [
+            http.Header("authorization", f"Bearer {self._token}")
+        ]
+        end_s = time.monotonic() + self._timeout_ms / 1000
+        last_error = Unreachable("no control process answered")
+        while time.monotonic() < end_s:
+            for address in self._addresses:
+                url = f"http://{address}{path}"
+                try:
+                    answer = fetch(method, url, headers, body, TRY_TIMEOUT_MS)
+                    return _parse(answer)
+                except Unreachable as error:
+                    last_error = error
+                except Refused as error:
+                    if not error.code.retryable:
+                        raise
+                    last_error = error
+            time.sleep(RETRY_PAUSE_MS / 1000)
+        raise last_error
+
+
+def _parse(answer):
+    try:
+        value = json.loads(answer.body)
+    except ValueError:
+        raise Unreachable("the answer is no JSON") from None
+    if answer.status >= 300:
+        raise Refused(value)
+    return value
--- /dev/null
+++ b/fescueyard/management/commands/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each command."""
--- /dev/null
+++ b/fescueyard/management/commands/control_init.py
@@ -0,0 +1,33 @@
+"""``fescueyard control_init``: starts a new cluster, once in its life."""
+
+from fescueyard.conf import settings
+from fescueyard.configuration import state
+from fescueyard.control import models
+from fescueyard.control import storage
+from fescueyard.core import ids
+from fescueyard.management import utils
+
+
+def run(**flags):
+    """Make this VM the first control member of a new cluster.
+
+    :param flags: the settings of ``fescueyard control``.
+    """
+    values = utils.load_process_settings(settings.ControlSettings, flags)
+    cluster_id = ids.new_id("c-")
+
+    def first_snapshot(member_id):
+        member = models.Member(
+            member_id,
+            values.address,
+            values.admin_address,
+            values.zone,
+            voter=True,
+        )
+        configuration = state.ConfigurationState(cluster_id)
+        return models.Snapshot(1, 1, [member], state.dump_state(configuration))
+
+    folder = storage.Storage(values.data_folder)
+    folder.create(first_snapshot)
+    folder.close()
+    print(f"cluster {cluster_id}")
--- /dev/null
+++ b/fescueyard/management/commands/ctl.py
@@ -0,0 +1,159 @@
+"""``fescueyard ctl``: drives the configuration."""
+
+import hashlib
+import json
+import os
+import secrets
+
+from fescueyard.conf import settings
+from fescueyard.core import exceptions
+from fescueyard.core import ids
+from fescueyard.management import client
+
+
+class Ctl:
+    """Creates, changes and retires objects while traffic flows.
+
+    Each method takes the settings of ``ctl`` as flags.
+    """
+
+    def get(self, kind, name="", **flags):
+        """Show one object, or all of a kind.
+
+        :param kind: profile, service, firm, customer or key.
+        :param name: the object; all when empty.
+        """
+        path = f"/v1/objects/{kind}"
+        if name:
+            path += f"/{name}"
+        _show(_client(flags).read(path))
+
+    def put(
+        self,
+        kind,
+        name,
+        document,
+        expected_version=None,
+        change_id="",
+        **flags,
+    ):
+        """Create or change an object.
+
+        :param kind: profile, service, firm, customer or key.
+        :param name: the object.
+        :param document: JSON, or ``@path`` of a file that holds it.
+        :param expected_version: version the change is based on; the present
+            one when left out.
+        :param change_id: id of the change, to send it again.
+        """
+        api = _client(flags)
+        path = f"/v1/objects/{kind}/{name}"
+        if expected_version is None:
+            expected_version = _present_version(api, path)
+        _show(
+            api.change(
+                "PUT", path, _document(document), expected_version, change_id
+            )
+        )
+
+    def retire(self, kind, name, expected_version=None, change_id="", **flags):
+        """Retire an object; retiring a key withdraws it.
+
+        :param kind: profile, service, firm, customer or key.
+        :param name: the object.
+        :param expected_version: version the change is based on; the present
+            one when left out.
+        :param change_id: id of the change, to send it again.
+        """
+        api = _client(flags)
+        path = f"/v1/objects/{kind}/{name}"
+        if expected_version is None:
+            expected_version = _present_version(api, path)
+        _show(api.change("DELETE", path, b"", expected_version, change_id))
+
+    def grant_key(self, customer, key_id="", **flags):
+        """Make a key for a customer and print it, this once only.
+
+        :param customer: the customer.
+        :param key_id: name of the key; made up when empty.
+        """
+        key_id = key_id or ids.new_id("k-")
+        key = "fyk_" + secrets.token_urlsafe(32)
+        document = {
+            "customer": customer,
+            "sha256": hashlib.sha256(key.encode()).hexdigest(),
+        }
+        _client(flags).change(
+            "PUT",
+            f"/v1/objects/key/{key_id}",
+            json.dumps(document).encode(),
+            0,
+        )
+        _show({"key_id": key_id, "key": key})
+
+    def withdraw_key(self, key_id, **flags):
+        """Withdraw a key.
+
+        :param key_id: name of the key.
+        """
+        self.retire("key", key_id, **flags)
+
+    def status(self, **flags):
+        """Show the status of a control process."""
+        _show(_client(flags).read("/v1/status"))
+
+    def members(self, **flags):
+        """Show the control members and the applicants."""
+        _show(_client(flags).read("/v1/members"))
+
+    def add_member(self, member_id, **flags):
+        """Admit an applicant; it votes once it has caught up.
+
+        :param member_id: the applicant.
+        """
+        _change_member("PUT", member_id, flags)
+
+    def remove_member(self, member_id, **flags):
+        """Remove a control member.
+
+        :param member_id: the member.
+        """
+        _change_member("DELETE", member_id, flags)
+
+
+def _client(flags):
+    values = settings.load(settings.OperatorSettings, flags, os.environ)
+    return client.AdminClient(values)
+
+
+def _change_member(method, member_id, flags):
+    path = f"/v1/members/{member_id}"
+    _show(_client(flags).change(method, path, b"", 0))
+
+
+def _present_version(api, path):
+    try:
+        return api.read(path)["version"]
+    except client.Refused as error:
+        if error.code.http_status == 404:
+            return 0
+        raise
+
+
+def _document(document):
+    # The flag parser turns a JSON object into a dict.
+    if not isinstance(document, str):
+        return json.dumps(document).encode()
+    if not document.startswith("@"):
+        return document.encode()
+    try:
+        with open(document[1:], "rb") as file:
+            return file.read()
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"can't read {document[1:]}: {error.strerror}"
+        ) from None
+
+
+def _show(value):
+    print(json.dumps(value, indent=1))
--- /dev/null
+++ b/fescueyard/management/utils.py
@@ -0,0 +1,29 @@
+"""What the commands share."""
+
+import os
+
+from absl import logging
+
+from fescueyard.conf import checks
+from fescueyard.conf import settings
+
+_LEVELS = {
+    "debug": logging.DEBUG,
+    "info": logging.INFO,
+    "warning": logging.WARNING,
+    "error": logging.ERROR,
+}
+
+
+def load_process_settings(cls, flags):
+    """Load and check the settings of a process, and set up its logs.
+
+    :param cls: the settings class.
+    :param flags: flag values by name.
+    :returns: an instance of ``cls``.
+    :raises SettingsError: when a setting is wrong.
+    """
+    values = settings.load(cls, flags, os.environ)
+    checks.require(values)
+    logging.set_verbosity(_LEVELS[values.log_level])
+    return values
--- /dev/null
+++ b/fescueyard/node/__init__.py
@@ -0,0 +1,1 @@
+"""The data plane process on every backend server VM."""
--- /dev/null
+++ b/fescueyard/node/systems.py
@@ -0,0 +1,179 @@
+"""The systems of a node: what runs each tick, and the pull of configuration.
+
+Importing this module registers every package's messages and events.
+"""
+
+from fescueyard.admission import systems as admission
+from fescueyard.configuration import messages as configuration_messages
+from fescueyard.configuration import replica
+from fescueyard.core import dispatch
+from fescueyard.core import effects
+from fescueyard.core import timers
+from fescueyard.ingress import systems as ingress
+from fescueyard.limits import systems as limits
+from fescueyard.routing import membership
+from fescueyard.routing import models as routing_models
+
+PULL_INTERVAL_MS = 500
+PULL_SPREAD_MS = 200
+PULL_PEER_EVERY = 3
+
+
+def tick(tables, now_ms):
+    """Run every system once.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    for event in timers.take_due(tables.timers, now_ms):
+        dispatch.handle(event, tables, now_ms)
+    membership.tick(tables, now_ms)
+    limits.tick(tables, now_ms)
+    _pull(tables, now_ms)
+    handle_events(tables, now_ms)
+
+
+def receive(message, tables, sender, now_ms):
+    """Take in a message and the events that follow from it.
+
+    :param message: the message.
+    :param tables: the node's tables.
+    :param sender: :class:`~fescueyard.core.dispatch.Sender`.
+    :param now_ms: the present time.
+    :raises StreamError: when the message is not for a node.
+    """
+    dispatch.receive(message, tables, sender, now_ms)
+    handle_events(tables, now_ms)
+
+
+def handle_events(tables, now_ms):
+    """Handle this node's events until none is left.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    while tables.events:
+        events = tables.events
+        tables.events = []
+        for event in events:
+            dispatch.handle(event, tables, now_ms)
+
+
+def drain(tables, now_ms):
+    """Begin a planned stop: no new work, tokens handed back.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    if tables.draining:
+        return
+    tables.draining = True
+    admission.leave(tables, now_ms)
+    membership.change_own(tables, now_ms, accepting=False)
+    limits.release(tables, now_ms)
+    handle_events(tables, now_ms)
+
+
+def is_idle(tables):
+    """Say whether no call and no run is under way.
+
+    :param tables: the node's tables.
+    :returns: bool.
+    """
+    return not tables.calls.rows and not tables.runs.rows
+
+
+def say_goodbye(tables, now_ms):
+    """Tell the fleet that this process has left.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    membership.change_own(tables, now_ms, status=routing_models.LEFT)
+    membership.tick(tables, now_ms)
+
+
+def stream_lost(tables, peer_id, address, stream, now_ms):
+    """Take in the loss of a stream.
+
+    :param tables: the node's tables.
+    :param peer_id: the process at its other end; None before it was known.
+    :param address: ``host:port`` it was dialled to; None when accepted.
+    :param stream: handle of the stream.
+    :param now_ms: the present time.
+    """
+    if address is not None:
+        ingress.stream_lost(tables, address, now_ms)
+    admission.stream_lost(tables, peer_id, stream, now_ms)
+    handle_events(tables, now_ms)
+
+
+@dispatch.receive.register
+def _receive_configuration(
+    message: configuration_messages.ConfigurationAnswer,
+    tables,
+    sender,
+    now_ms,
+):
+    if replica.install(tables.configuration, message):
+        tables.pull.answered_turn = tables.pull.turn
+
+
+@dispatch.receive.register
+def _receive_configuration_ask(
+    message: configuration_messages.ConfigurationAsk, tables, sender, now_ms
+):
+    table = tables.configuration
+    answer = replica.answer(
+        table.state,
+        message,
+        replica.age_ms(table, now_ms),
+        table.control_addresses,
+    )
+    if answer is not None:
+        tables.effects.append(effects.SendReply(sender.stream, answer))
+
+
+def _pull(tables, now_ms):
+    """Ask one source for what changed; go round when one stays silent."""
+    pull = tables.pull
+    if now_ms < pull.pull_due_ms:
+        return
+    spread_ms = PULL_SPREAD_MS * tables.random.random()
+    pull.pull_due_ms = now_ms + PULL_INTERVAL_MS + spread_ms
+    silent_turns = pull.turn - pull.answered_turn
+    pull.turn += 1
+    address = _source(tables, silent_turns)
+    if address is not None:
+        ask = replica.ask(tables.configuration, now_ms)
+        tables.effects.append(effects.SendMessage(address, ask))
+
+
+def _source(tables, silent_turns):
+    """Choose whom to ask.
+
+    A control VM of the own zone goes first. Every third turn without an
+    answer another node is asked, since one in another zone may still reach
+    the control VMs.
+    """
+    others = membership.alive_nodes(tables.members)
+    if silent_turns % PULL_PEER_EVERY == PULL_PEER_EVERY - 1 and others:
+        node_id = tables.random.choice(others)
+        return tables.members.rows[node_id].address
+    addresses = tables.control_addresses()
+    if not addresses:
+        return None
+    if silent_turns == 0:
+        return _nearest(tables, addresses)
+    return tables.random.choice(addresses)
+
+
+def _nearest(tables, addresses):
+    members = tables.members
+    for address in addresses:
+        member = members.rows.get(members.by_address.get(address))
+        if member is not None and member.zone == members.own.zone:
+            return address
+    # Nodes spread over the control VMs by their own id.
+    place = sum(members.own.node_id.encode()) % len(addresses)
+    return addresses[place]
--- /dev/null
+++ b/fescueyard/node/tables.py
@@ -0,0 +1,147 @@
+"""All tables of a node."""
+
+import dataclasses
+import random
+
+from fescueyard.admission import models as admission_models
+from fescueyard.configuration import models as configuration_models
+from fescueyard.configuration import replica
+from fescueyard.core import timers as core_timers
+from fescueyard.ingress import models as ingress_models
+from fescueyard.limits import models as limit_models
+from fescueyard.node import metrics as node_metrics
+from fescueyard.retries import models as retry_models
+from fescueyard.retries import quarantine as retry_quarantine
+from fescueyard.routing import messages as routing_messages
+from fescueyard.routing import models as routing_models
+
+
+@dataclasses.dataclass
+class PullTable:
+    """The node's way to fresh configuration.
+
+    :param pull_due_ms: when the next question is sent.
+    :param turn: counts the questions, to go round the sources.
+    :param answered_turn: turn of the last question that was answered.
+    """
+
+    pull_due_ms: float = 0.0
+    turn: int = 0
+    answered_turn: int = 0
+
+
+@dataclasses.dataclass
+class NodeTables:
+    """All state of a node.
+
+    :param process_id: another one after each start.
+    :param seeds: ``host:port`` of control VMs, from the settings.
+    :param random: for choices that need no secrecy.
+    :param secure_random: for tokens and ids that must not be guessed.
+    :param draining: the node is stopping and takes no new work.
+    :param events: events of this process that wait to be handled.
+    :param effects: what the edge has to do.
+    """
+
+    process_id: str
+    seeds: list[str]
+    random: random.Random
+    secure_random: random.Random
+    members: routing_models.MemberTable
+    configuration: replica.ReplicaTable = dataclasses.field(
+        default_factory=replica.ReplicaTable
+    )
+    pull: PullTable = dataclasses.field(default_factory=PullTable)
+    calls: ingress_models.CallTable = dataclasses.field(
+        default_factory=ingress_models.CallTable
+    )
+    runs: admission_models.RunTable = dataclasses.field(
+        default_factory=admission_models.RunTable
+    )
+    retries: retry_models.RetryTable = dataclasses.field(
+        default_factory=retry_models.RetryTable
+    )
+    quarantine: retry_quarantine.QuarantineTable = dataclasses.field(
+        default_factory=retry_quarantine.QuarantineTable
+    )
+    limits: limit_models.LimitTable = dataclasses.field(
+        default_factory=limit_models.LimitTable
+    )
+    timers: core_timers.TimerTable = dataclasses.field(
+        default_factory=core_timers.TimerTable
+    )
+    metrics: node_metrics.Metrics = dataclasses.field(
+        default_factory=node_metrics.Metrics
+    )
+    default_profile: configuration_models.Profile = dataclasses.field(
+        default_factory=configuration_models.Profile
+    )
+    draining: bool = False
+    events: list = dataclasses.field(default_factory=list)
+    effects: list = dataclasses.field(default_factory=list)
+
+    def control_addresses(self):
+        """List the control VMs, the leader first where it is known.
+
+        :returns: list of ``host:port``.
+        """
+        return self.configuration.control_addresses or self.seeds
+
+    def own_profile(self):
+        """Find the profile of this VM's backend server.
+
+        :returns: :class:`~fescueyard.configuration.models.Profile`.
+        """
+        backend = self.runs.backend
+        if backend is None:
+            return self.default_profile
+        return self.profile_of(backend.service)
+
+    def profile_of(self, service_name):
+        """Find the profile of a service.
+
+        :param service_name: the service.
+        :returns: :class:`~fescueyard.configuration.models.Profile`; the
+            default one when there is no such service.
+        """
+        state = self.configuration.state
+        service = state.find(configuration_models.Kind.SERVICE, service_name)
+        if service is None:
+            return self.default_profile
+        return state.find(configuration_models.Kind.PROFILE, service.profile)
+
+
+def new_tables(
+    process_id, zone, region, address, seeds, seed, secure_random, role
+):
+    """Make the tables of a node.
+
+    :param process_id: the node's id, another one after each start.
+    :param zone: its availability zone.
+    :param region: its region.
+    :param address: ``host:port`` of its streams.
+    :param seeds: ``host:port`` of control VMs.
+    :param seed: seed of the choices that need no secrecy.
+    :param secure_random: generator for what must not be guessed.
+    :param role: ``node`` or ``control``.
+    :returns: :class:`NodeTables`.
+    """
+    own = routing_messages.Member(
+        process_id,
+        1,
+        routing_models.ALIVE,
+        role,
+        zone,
+        region,
+        address,
+        "",
+        0,
+        False,
+    )
+    return NodeTables(
+        process_id,
+        seeds,
+        random.Random(seed),
+        secure_random,
+        routing_models.new_table(own, seeds),
+    )
--- /dev/null
+++ b/fescueyard/once/__init__.py
@@ -0,0 +1,1 @@
+"""Claims that make a non-idempotent request run at most once."""
--- /dev/null
+++ b/fescueyard/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retry allowance of a call chain and poison quarantine."""
--- /dev/null
+++ b/fescueyard/retries/messages.py
@@ -0,0 +1,40 @@
+"""Messages about the retry allowance of a call chain."""
+
+import dataclasses
+
+from fescueyard.core import wire
+
+
+@dataclasses.dataclass(slots=True)
+class Chain:
+    """The call chain that a request belongs to.
+
+    :param chain_id: made where the chain entered the fleet.
+    :param ledger_address: ``host:port`` of the node that keeps its ledger.
+    :param depth: hops so far; 1 for the caller's own request.
+    """
+
+    chain_id: str
+    ledger_address: str
+    depth: int
+
+
+@wire.message(50)
+@dataclasses.dataclass(slots=True)
+class RetryAsk:
+    """Asks the ledger for one more try.
+
+    :param ask_id: number of the asking node's question.
+    """
+
+    ask_id: int
+    chain_id: str
+
+
+@wire.message(51)
+@dataclasses.dataclass(slots=True)
+class RetryAnswer:
+    """Answers a :class:`RetryAsk`."""
+
+    ask_id: int
+    granted: bool
--- /dev/null
+++ b/fescueyard/retries/quarantine.py
@@ -0,0 +1,122 @@
+"""Quarantine of requests that crash backend servers.
+
+A node notes the fingerprint of what was running when its backend server broke
+off. Crashes are told to the fleet; a fingerprint seen at as many crashes as
+the profile allows is refused everywhere for a while.
+"""
+
+import dataclasses
+
+from fescueyard.core import dispatch
+from fescueyard.core import effects
+from fescueyard.core import wire
+from fescueyard.routing import membership
+
+CRASH_GOSSIP_FANOUT = 3
+CRASH_GOSSIP_HOPS = 5
+CRASHES_MAX = 4_096
+TELL_AT_ONCE_MAX = 16
+
+
+@wire.message(55)
+@dataclasses.dataclass(slots=True)
+class CrashReport:
+    """A backend server broke off while it ran a request.
+
+    :param crash_id: id of the crash; each counts once.
+    :param fingerprint: digest of the request.
+    :param hops_left: how much further it is told.
+    """
+
+    crash_id: str
+    fingerprint: bytes
+    hops_left: int
+
+
+@dataclasses.dataclass(slots=True)
+class Suspect:
+    """A fingerprint and the crashes it was seen at."""
+
+    crash_ids: set[str]
+    last_crash_at_ms: float
+
+
+@dataclasses.dataclass
+class QuarantineTable:
+    """Fingerprints seen at crashes, oldest first."""
+
+    suspects: dict[bytes, Suspect] = dataclasses.field(default_factory=dict)
+    last_crash_number: int = 0
+
+
+def note_crash(tables, forward, now_ms):
+    """Note that the backend server broke off during a run.
+
+    :param tables: the node's tables.
+    :param forward: the request that ran.
+    :param now_ms: the present time.
+    """
+    table = tables.quarantine
+    table.last_crash_number += 1
+    crash_id = f"{tables.process_id}/{table.last_crash_number}"
+    report = CrashReport(crash_id, forward.fingerprint, CRASH_GOSSIP_HOPS)
+    _take(tables, report, now_ms)
+    # The nodes of the same service are told at once: the caller's next try
+    # goes to one of them.
+    members = tables.members
+    others = [
+        node_id
+        for node_id in members.by_service.get(forward.service, ())
+        if node_id != members.own.node_id
+    ]
+    for node_id in others[:TELL_AT_ONCE_MAX]:
+        _send(tables, node_id, report)
+
+
+def is_quarantined(tables, fingerprint, now_ms):
+    """Say whether a request is refused for its crashes.
+
+    :param tables: the node's tables.
+    :param fingerprint: digest of the request.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    suspect = tables.quarantine.suspects.get(fingerprint)
+    if suspect is None:
+        return False
+    profile = tables.own_profile()
+    if now_ms - suspect.last_crash_at_ms > profile.quarantine_ms:
+        del tables.quarantine.suspects[fingerprint]
+        return False
+    return len(suspect.crash_ids) >= profile.crash_max
+
+
+@dispatch.receive.register
+def _receive_report(message: CrashReport, tables, sender, now_ms):
+    _take(tables, message, now_ms)
+
+
+def _take(tables, report, now_ms):
+    table = tables.quarantine
+    suspect = table.suspects.pop(report.fingerprint, None)
+    if suspect is None:
+        suspect = Suspect(set(), now_ms)
+    table.suspects[report.fingerprint] = suspect
+    if len(table.suspects) > CRASHES_MAX:
+        del table.suspects[next(iter(table.suspects))]
+    if report.crash_id in suspect.crash_ids:
+        return
+    suspect.crash_ids.add(report.crash_id)
+    suspect.last_crash_at_ms = now_ms
+    if report.hops_left < 1:
+        return
+    told = dataclasses.replace(report, hops_left=report.hops_left - 1)
+    others = membership.alive_nodes(tables.members)
+    count = min(CRASH_GOSSIP_FANOUT, len(others))
+    for node_id in tables.random.sample(others, count):
+        _send(tables, node_id, told)
+
+
+def _send(tables, node_id, report):
+    address = tables.members.rows[node_id].address
+    tables.effects.append(effects.SendDatagram(address, report))
--- /dev/null
+++ b/fescueyard/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Membership and the choice of a backend server."""
--- /dev/null
+++ b/fescueyard/routing/choice.py
@@ -0,0 +1,139 @@
+"""Choice of the backend server for an attempt.
+
+Two candidates are drawn at random and the less loaded one is taken. Load is
+what the candidate's last answer carried, aged, plus this node's own attempts
+under way. The zone of the node goes first unless it is the more loaded.
+"""
+
+from fescueyard.routing import models
+
+LOAD_HALF_LIFE_MS = 200
+OTHER_ZONE_PENALTY = 0.25
+FAILURES_BEFORE_EJECTION = 5
+EJECTION_MS = 1_000
+EJECTION_MAX_MS = 30_000
+EJECTED_SHARE_MAX = 0.34
+
+
+def choose(tables, service, tried, slow_start_ms, now_ms):
+    """Choose a backend server.
+
+    :param tables: the node's tables.
+    :param service: name of the service.
+    :param tried: ids of nodes that had this call already.
+    :param slow_start_ms: time until a new one takes its full share.
+    :param now_ms: the present time.
+    :returns: its :class:`~fescueyard.routing.messages.Member`, or None.
+    """
+    table = tables.members
+    candidates = _candidates(table, service, tried, now_ms)
+    if not candidates:
+        return None
+    own_zone = []
+    other_zones = []
+    for member in candidates:
+        if member.zone == table.own.zone:
+            own_zone.append(member)
+        else:
+            other_zones.append(member)
+
+    def score(member):
+        return _score(table, member, slow_start_ms, now_ms)
+
+    near = _better_of_two(tables, own_zone, score)
+    far = _better_of_two(tables, other_zones, score)
+    if near is None or far is None:
+        return near or far
+    if score(far) + OTHER_ZONE_PENALTY < score(near):
+        return far
+    return near
+
+
+def attempt_started(tables, node_id, now_ms):
+    """Count an attempt that goes out.
+
+    :param tables: the node's tables.
+    :param node_id: the chosen node.
+    :param now_ms: the present time.
+    """
+    targets = tables.members.targets
+    if node_id not in targets:
+        targets[node_id] = models.TargetRow(now_ms)
+    targets[node_id].outstanding += 1
+
+
+def attempt_ended(tables, node_id, failed, now_ms):
+    """Count an attempt that ended; eject a target that keeps failing.
+
+    :param tables: the node's tables.
+    :param node_id: the chosen node.
+    :param failed: whether the node or its backend server failed.
+    :param now_ms: the present time.
+    """
+    target = tables.members.targets.get(node_id)
+    if target is None:
+        return
+    target.outstanding = max(0, target.outstanding - 1)
+    if not failed:
+        target.failures = 0
+        target.ejections = 0
+        return
+    target.failures += 1
+    if target.failures >= FAILURES_BEFORE_EJECTION:
+        target.failures = 0
+        ejection_ms = EJECTION_MS * 2**target.ejections
+        target.ejected_until_ms = now_ms + min(ejection_ms, EJECTION_MAX_MS)
+        target.ejections = min(target.ejections + 1, 16)
+
+
+def note_load(tables, node_id, load, limit, now_ms):
+    """Take in the load that rode on an answer.
+
+    :param tables: the node's tables.
+    :param node_id: the answering node.
+    :param load: requests queued and running there.
+    :param limit: its concurrency limit.
+    :param now_ms: the present time.
+    """
+    target = tables.members.targets.get(node_id)
+    if target is not None:
+        target.reported_load = load
+        target.limit = limit
+        target.reported_at_ms = now_ms
+
+
+def _candidates(table, service, tried, now_ms):
+    node_ids = table.by_service.get(service, ())
+    fresh = [node_id for node_id in node_ids if node_id not in tried]
+    # With every candidate tried, another try of one of them beats none.
+    usable = fresh or list(node_ids)
+    healthy = []
+    for node_id in usable:
+        target = table.targets.get(node_id)
+        if target is None or target.ejected_until_ms <= now_ms:
+            healthy.append(node_id)
+    ejected_count = len(usable) - len(healthy)
+    if ejected_count > EJECTED_SHARE_MAX * len(usable):
+        healthy = usable
+    return [table.rows[node_id] for node_id in healthy]
+
+
+def _better_of_two(tables, members, score):
+    if len(members) <= 1:
+        return members[0] if members else None
+    first, second = tables.random.sample(members, 2)
+    return second if score(second) < score(first) else first
+
+
+def _score(table, member, slow_start_ms, now_ms):
+    target = table.targets.get(member.node_id)
+    if target is None:
+        return 0.0
+    age_ms = now_ms - target.reported_at_ms
+    aged = target.reported_load * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
+    load = max(aged, target.outstanding)
+    capacity = max(1, target.limit or member.slots)
+    warm_for_ms = now_ms - target.seen_at_ms
+    if warm_for_ms < slow_start_ms:
+        capacity *= max(0.1, warm_for_ms / slow_start_ms)
+    return (load + 1) / capacity
--- /dev/null
+++ b/fescueyard/routing/membership.py
@@ -0,0 +1,414 @@
+"""Membership by gossip: probes, suspicion and incarnations.
+
+Each process probes one other a period; who does not answer, directly or
+through others, becomes suspect and then dead unless it objects with a higher
+incarnation. News ride on probes and on small gossip datagrams. Cost a process
+does not grow with the fleet but for the logarithm in how often news is passed
+on.
+"""
+
+import dataclasses
+import hashlib
+import math
+
+from fescueyard.core import dispatch
+from fescueyard.core import effects
+from fescueyard.routing import messages
+from fescueyard.routing import models
+
+PROBE_INTERVAL_MS = 500
+PROBE_INDIRECT_MS = 250
+PROBE_TIMEOUT_MS = 1_000
+INDIRECT_PROBES = 3
+RELAYED_PROBES_MAX = 64
+SUSPECT_MS = 2_500
+GOSSIP_INTERVAL_MS = 200
+GOSSIP_FANOUT = 3
+MEMBERS_PER_DATAGRAM = 6
+NEWS_FACTOR = 3
+TABLE_INTERVAL_MS = 10_000
+TABLE_INTERVAL_ALONE_MS = 500
+FORGET_MS = 600_000
+SWEEP_INTERVAL_MS = 200
+_STATUS_ORDER = {
+    models.ALIVE: 0,
+    models.SUSPECT: 1,
+    models.DEAD: 2,
+    models.LEFT: 3,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class MemberLost:
+    """Event: a process is dead or has left.
+
+    :param node_id: the process.
+    :param address: ``host:port`` of its streams.
+    """
+
+    node_id: str
+    address: str
+
+
+def change_own(tables, now_ms, **fields):
+    """Tell the fleet of a change in this process's own row.
+
+    :param tables: the process's tables.
+    :param now_ms: the present time.
+    :param fields: fields of the row that change.
+    """
+    table = tables.members
+    incarnation = table.own.incarnation + 1
+    own = dataclasses.replace(table.own, incarnation=incarnation, **fields)
+    _install(tables, own, now_ms)
+    table.gossip_due_ms = now_ms
+
+
+def tick(tables, now_ms):
+    """Run what is due.
+
+    :param tables: the process's tables.
+    :param now_ms: the present time.
+    """
+    table = tables.members
+    if now_ms >= table.sweep_due_ms:
+        table.sweep_due_ms = now_ms + SWEEP_INTERVAL_MS
+        _sweep(tables, now_ms)
+    _check_probes(tables, now_ms)
+    if now_ms >= table.probe_due_ms:
+        table.probe_due_ms = now_ms + PROBE_INTERVAL_MS
+        _probe_next(tables, now_ms)
+    if now_ms >= table.gossip_due_ms:
+        table.gossip_due_ms = now_ms + GOSSIP_INTERVAL_MS
+        _gossip(tables)
+    if now_ms >= table.table_due_ms:
+        _ask_table(tables, now_ms)
+
+
+def alive_others(table):
+    """List the ids of the other processes that are not known to be gone.
+
+    :param table: the member table.
+    :returns: list of ids.
+    """
+    return [
+        node_id
+        for node_id, member in table.rows.items()
+        if node_id != table.own.node_id
+        and member.status in (models.ALIVE, models.SUSPECT)
+    ]
+
+
+def alive_nodes(table):
+    """List the ids of the other nodes that are not known to be gone.
+
+    :param table: the member table.
+    :returns: list of ids, without control processes.
+    """
+    return [
+        node_id
+        for node_id in alive_others(table)
+        if table.rows[node_id].role == models.NODE_ROLE
+    ]
+
+
+def is_alive(table, node_id):
+    """Say whether a process is not known to be gone.
+
+    :param table: the member table.
+    :param node_id: the process.
+    :returns: bool.
+    """
+    member = table.rows.get(node_id)
+    return member is not None and member.status in (
+        models.ALIVE,
+        models.SUSPECT,
+    )
+
+
+@dispatch.receive.register
+def _receive_ping(message: messages.Ping, tables, sender, now_ms):
+    _merge(tables, message.members, now_ms)
+    reply_to = _address_of(tables, message.sender_id)
+    if reply_to is None:
+        # A sender not known yet put its own row first.
+        if not message.members:
+            return
+        reply_to = message.members[0].address
+    ack = messages.Ack(
+        message.probe_id, tables.members.own.node_id, _take_news(tables)
+    )
+    tables.effects.append(effects.SendDatagram(reply_to, ack))
+
+
+@dispatch.receive.register
+def _receive_ack(message: messages.Ack, tables, sender, now_ms):
+    _merge(tables, message.members, now_ms)
+    table = tables.members
+    relayed = table.relayed_probes.pop(message.probe_id, None)
+    if relayed is not None:
+        ack = messages.Ack(relayed.probe_id, message.node_id, [])
+        tables.effects.append(effects.SendDatagram(relayed.reply_to, ack))
+    probe = table.probes.get(message.probe_id)
+    if probe is not None and probe.node_id == message.node_id:
+        del table.probes[message.probe_id]
+
+
+@dispatch.receive.register
+def _receive_ping_request(
+    message: messages.PingRequest, tables, sender, now_ms
+):
+    table = tables.members
+    table.last_probe_id += 1
+    table.relayed_probes[table.last_probe_id] = message
+    if len(table.relayed_probes) > RELAYED_PROBES_MAX:
+        del table.relayed_probes[min(table.relayed_probes)]
+    ping = messages.Ping(table.last_probe_id, table.own.node_id, [table.own])
+    tables.effects.append(effects.SendDatagram(message.address, ping))
+
+
+@dispatch.receive.register
+def _receive_gossip(message: messages.Gossip, tables, sender, now_ms):
+    _merge(tables, message.members, now_ms)
+
+
+@dispatch.receive.register
+def _receive_table_ask(message: messages.TableAsk, tables, sender, now_ms):
+    _merge(tables, message.members, now_ms)
+    members = []
+    if message.digest != _digest(tables.members):
+        members = list(tables.members.rows.values())
+    answer = messages.TableAnswer(members)
+    tables.effects.append(effects.SendReply(sender.stream, answer))
+
+
+@dispatch.receive.register
+def _receive_table_answer(
+    message: messages.TableAnswer, tables, sender, now_ms
+):
+    _merge(tables, message.members, now_ms)
+
+
+def _merge(tables, members, now_ms):
+    for member in members:
+        if member.status not in _STATUS_ORDER:
+            continue
+        if member.node_id == tables.members.own.node_id:
+            _object(tables, member, now_ms)
+        elif _is_newer(member, tables.members.rows.get(member.node_id)):
+            _install(tables, member, now_ms)
+
+
+def _is_newer(member, known):
+    if known is None:
+        return member.status in (models.ALIVE, models.SUSPECT)
+    if member.incarnation != known.incarnation:
+        return member.incarnation > known.incarnation
+    return _STATUS_ORDER[member.status] > _STATUS_ORDER[known.status]
+
+
+def _object(tables, member, now_ms):
+    """Answer what others say of this process with a higher incarnation."""
+    own = tables.members.own
+    if member.incarnation < own.incarnation:
+        return
+    if member == own:
+        return
+    tables.members.own = dataclasses.replace(
+        own, incarnation=member.incarnation
+    )
+    change_own(tables, now_ms)
+
+
+def _install(tables, member, now_ms):
+    table = tables.members
+    known = table.rows.get(member.node_id)
+    table.version += 1
+    if member.node_id == table.own.node_id:
+        table.own = member
+    table.rows[member.node_id] = member
+    if known is None or known.status != member.status:
+        table.status_since_ms[member.node_id] = now_ms
+    if known is not None and known.address != member.address:
+        table.by_address.pop(known.address, None)
+    gone = member.status in (models.DEAD, models.LEFT)
+    if gone:
+        if table.by_address.get(member.address) == member.node_id:
+            del table.by_address[member.address]
+        if known is not None and known.status != member.status:
+            tables.events.append(MemberLost(member.node_id, member.address))
+    else:
+        table.by_address[member.address] = member.node_id
+    _index_service(table, known, member, now_ms)
+    table.news[member.node_id] = models.News(member, _news_times(table))
+
+
+def _index_service(table, known, member, now_ms):
+    if known is not None and known.service:
+        table.by_service.get(known.service, {}).pop(member.node_id, None)
+    usable = member.accepting and member.status in (
+        models.ALIVE,
+        models.SUSPECT,
+    )
+    if not usable or not member.service:
+        return
+    table.by_service.setdefault(member.service, {})[member.node_id] = None
+    was_usable = known is not None and known.accepting
+    target = table.targets.get(member.node_id)
+    if target is None:
+        table.targets[member.node_id] = models.TargetRow(now_ms)
+    elif not was_usable:
+        target.seen_at_ms = now_ms
+
+
+def _news_times(table):
+    return NEWS_FACTOR * math.ceil(math.log2(len(table.rows) + 1))
+
+
+def _take_news(tables):
+    """Take the statements passed on least often, for one datagram."""
+    news = tables.members.news
+    if not news:
+        return []
+    rows = sorted(news.values(), key=lambda row: -row.times_left)
+    taken = []
+    for row in rows[:MEMBERS_PER_DATAGRAM]:
+        row.times_left -= 1
+        taken.append(row.member)
+        if row.times_left <= 0:
+            del news[row.member.node_id]
+    return taken
+
+
+def _address_of(tables, node_id):
+    member = tables.members.rows.get(node_id)
+    return None if member is None else member.address
+
+
+def _sweep(tables, now_ms):
+    table = tables.members
+    for node_id, since_ms in list(table.status_since_ms.items()):
+        member = table.rows[node_id]
+        if member.status == models.ALIVE:
+            continue
+        if member.status == models.SUSPECT:
+            if now_ms - since_ms > SUSPECT_MS:
+                dead = dataclasses.replace(member, status=models.DEAD)
+                _install(tables, dead, now_ms)
+        elif now_ms - since_ms > FORGET_MS:
+            del table.rows[node_id]
+            del table.status_since_ms[node_id]
+            table.targets.pop(node_id, None)
+
+
+def _check_probes(tables, now_ms):
+    table = tables.members
+    for probe_id, probe in list(table.probes.items()):
+        if now_ms >= probe.fails_at_ms:
+            del table.probes[probe_id]
+            _suspect(tables, probe.node_id, now_ms)
+        elif now_ms >= probe.indirect_at_ms and not probe.indirect_sent:
+            probe.indirect_sent = True
+            _probe_indirectly(tables, probe_id, probe)
+
+
+def _suspect(tables, node_id, now_ms):
+    member = tables.members.rows.get(node_id)
+    if member is not None and member.status == models.ALIVE:
+        suspect = dataclasses.replace(member, status=models.SUSPECT)
+        _install(tables, suspect, now_ms)
+
+
+def _probe_indirectly(tables, probe_id, probe):
+    table = tables.members
+    target = table.rows.get(probe.node_id)
+    if target is None:
+        return
+    others = [
+        node_id for node_id in alive_others(table) if node_id != probe.node_id
+    ]
+    count = min(INDIRECT_PROBES, len(others))
+    for node_id in tables.random.sample(others, count):
+        request = messages.PingRequest(
+            probe_id, table.own.node_id, target.address, table.own.address
+        )
+        tables.effects.append(
+            effects.SendDatagram(table.rows[node_id].address, request)
+        )
+
+
+def _probe_next(tables, now_ms):
+    table = tables.members
+    node_id = _next_to_probe(tables)
+    if node_id is None:
+        return
+    table.last_probe_id += 1
+    table.probes[table.last_probe_id] = models.Probe(
+        node_id, now_ms + PROBE_INDIRECT_MS, now_ms + PROBE_TIMEOUT_MS
+    )
+    members = [table.own] + _take_news(tables)
+    ping = messages.Ping(table.last_probe_id, table.own.node_id, members)
+    tables.effects.append(
+        effects.SendDatagram(table.rows[node_id].address, ping)
+    )
+
+
+def _next_to_probe(tables):
+    table = tables.members
+    while True:
+        if not table.probe_order:
+            table.probe_order = alive_others(table)
+            tables.random.shuffle(table.probe_order)
+            if not table.probe_order:
+                return None
+        node_id = table.probe_order.pop()
+        if is_alive(table, node_id):
+            return node_id
+
+
+def _gossip(tables):
+    table = tables.members
+    if not table.news:
+        return
+    others = alive_others(table)
+    count = min(GOSSIP_FANOUT, len(others))
+    for node_id in tables.random.sample(others, count):
+        members = _take_news(tables)
+        if members:
+            tables.effects.append(
+                effects.SendDatagram(
+                    table.rows[node_id].address, messages.Gossip(members)
+                )
+            )
+
+
+def _ask_table(tables, now_ms):
+    """Compare the whole table with a random process or a seed.
+
+    Seeds stay among the choices: after a partition of the fleet has healed,
+    only they join the parts again that hold each other for dead.
+    """
+    table = tables.members
+    others = alive_others(table)
+    alone = not others
+    table.table_due_ms = now_ms + (
+        TABLE_INTERVAL_ALONE_MS if alone else TABLE_INTERVAL_MS
+    )
+    addresses = [table.rows[node_id].address for node_id in others]
+    use_seed = alone or tables.random.random() < 0.5
+    choices = table.seeds if use_seed and table.seeds else addresses
+    if not choices:
+        return
+    ask = messages.TableAsk(_digest(table), [table.own])
+    tables.effects.append(
+        effects.SendMessage(tables.random.choice(choices), ask)
+    )
+
+
+def _digest(table):
+    digest = hashlib.blake2b(digest_size=16)
+    for node_id in sorted(table.rows):
+        member = table.rows[node_id]
+        text = f"{node_id} {member.incarnation} {member.status}\n"
+        digest.update(text.encode())
+    return digest.digest()
--- /dev/null
+++ b/fescueyard/routing/models.py
@@ -0,0 +1,112 @@
+"""Rows of membership and of the choice of a backend server."""
+
+import dataclasses
+
+from fescueyard.routing import messages
+
+ALIVE = "alive"
+SUSPECT = "suspect"
+DEAD = "dead"
+LEFT = "left"
+
+NODE_ROLE = "node"
+CONTROL_ROLE = "control"
+
+
+@dataclasses.dataclass(slots=True)
+class Probe:
+    """A probe under way.
+
+    :param node_id: the process probed.
+    :param indirect_at_ms: when others are asked to probe it.
+    :param fails_at_ms: when it becomes suspect.
+    """
+
+    node_id: str
+    indirect_at_ms: float
+    fails_at_ms: float
+    indirect_sent: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class News:
+    """A statement that still has to be passed on.
+
+    :param times_left: how often.
+    """
+
+    member: messages.Member
+    times_left: int
+
+
+@dataclasses.dataclass(slots=True)
+class TargetRow:
+    """What this node knows of a backend server from its own calls.
+
+    :param seen_at_ms: when it was first seen accepting.
+    :param outstanding: attempts under way from this node.
+    :param reported_load: requests there at its last answer.
+    :param reported_at_ms: time of that answer.
+    :param limit: its concurrency limit at that answer.
+    :param failures: failures in a row.
+    :param ejected_until_ms: it is passed over until then.
+    :param ejections: how often it was ejected without success between.
+    """
+
+    seen_at_ms: float
+    outstanding: int = 0
+    reported_load: int = 0
+    reported_at_ms: float = float("-inf")
+    limit: int = 0
+    failures: int = 0
+    ejected_until_ms: float = float("-inf")
+    ejections: int = 0
+
+
+@dataclasses.dataclass
+class MemberTable:
+    """All processes of the fleet that this one knows of.
+
+    :param own: this process's row.
+    :param rows: rows by node id, this process's included.
+    :param by_service: ids of nodes with an accepting backend server.
+    :param by_address: ids by address.
+    :param status_since_ms: when a row got its status, for expiry.
+    :param targets: rows of :class:`TargetRow` by node id.
+    :param version: grows with each change of a row.
+    """
+
+    own: messages.Member
+    seeds: list[str]
+    rows: dict[str, messages.Member] = dataclasses.field(default_factory=dict)
+    by_service: dict[str, dict[str, None]] = dataclasses.field(
+        default_factory=dict
+    )
+    by_address: dict[str, str] = dataclasses.field(default_factory=dict)
+    status_since_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    targets: dict[str, TargetRow] = dataclasses.field(default_factory=dict)
+    news: dict[str, News] = dataclasses.field(default_factory=dict)
+    probes: dict[int, Probe] = dataclasses.field(default_factory=dict)
+    relayed_probes: dict[int, messages.PingRequest] = dataclasses.field(
+        default_factory=dict
+    )
+    probe_order: list[str] = dataclasses.field(default_factory=list)
+    version: int = 0
+    last_probe_id: int = 0
+    probe_due_ms: float = 0.0
+    gossip_due_ms: float = 0.0
+    table_due_ms: float = 0.0
+    sweep_due_ms: float = 0.0
+
+
+def new_table(own, seeds):
+    """Make the table of a process.
+
+    :param own: the process's own row.
+    :param seeds: ``host:port`` of processes to ask at first.
+    :returns: :class:`MemberTable`.
+    """
+    table = MemberTable(own, [seed for seed in seeds if seed != own.address])
+    table.rows[own.node_id] = own
+    table.by_address[own.address] = own.node_id
+    return table
--- /dev/null
+++ b/fescueyard/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Thin edges: HTTP, process streams, datagrams, backend client."""
--- /dev/null
+++ b/fescueyard/transport/backend_client.py
@@ -0,0 +1,186 @@
+"""HTTP client towards the VM's own backend server, on libcurl."""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+
+import pycurl
+
+from fescueyard.core import codes
+from fescueyard.core import http
+
+IDLE_HANDLES_MAX = 64
+CONNECT_TIMEOUT_MS = 500
+_BODYLESS = ("GET", "HEAD")
+
+
+@dataclasses.dataclass
+class BackendResult:
+    """How a run at the backend server ended.
+
+    :param answer: the whole answer, or None.
+    :param code: result code; ``OK`` with an answer.
+    """
+
+    answer: http.HttpAnswer | None
+    code: codes.ResultCode
+
+
+class _Transfer:
+    """One request in progress at the backend server."""
+
+    def __init__(self, answer_bytes_max):
+        self.future = concurrent.futures.Future()
+        self.headers = []
+        self.body = bytearray()
+        self.too_large = False
+        self._answer_bytes_max = answer_bytes_max
+
+    def take_header(self, line):
+        text = line.decode("latin-1").strip()
+        if text.startswith("HTTP/"):
+            self.headers = []
+            return
+        name, separator, value = text.partition(":")
+        if separator:
+            self.headers.append(http.Header(name.lower(), value.strip()))
+
+    def take_body(self, data):
+        if len(self.body) + len(data) > self._answer_bytes_max:
+            self.too_large = True
+            return 0
+        self.body += data
+        return None
+
+
+class BackendClient:
+    """Runs requests through one CurlMulti on the process's loop.
+
+    :param connections_max: most connections to the backend server.
+    :param answer_bytes_max: largest answer accepted.
+    """
+
+    def __init__(self, connections_max, answer_bytes_max):
+        self._loop = asyncio.get_running_loop()
+        self._answer_bytes_max = answer_bytes_max
+        self._transfers = {}
+        self._idle = []
+        self._timer = None
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_MAX_HOST_CONNECTIONS, connections_max)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, connections_max)
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+
+    def fetch(self, base_url, request, idempotent):
+        """Start a request.
+
+        :param base_url: ``http://host:port`` of the backend server.
+        :param request: :class:`~fescueyard.core.http.HttpRequest`.
+        :param idempotent: whether running twice does no harm.
+        :returns: future of a :class:`BackendResult`; cancel it with
+            :meth:`cancel`.
+        """
+        transfer = _Transfer(self._answer_bytes_max)
+        curl = self._idle.pop() if self._idle else pycurl.Curl()
+        self._prepare(curl, base_url, request, idempotent, transfer)
+        self._transfers[curl] = transfer
+        transfer.future.curl = curl
+        self._multi.add_handle(curl)
+        return transfer.future
+
+    def cancel(self, future):
+        """Break a request off; its future gets no result.
+
+        :param future: what :meth:`fetch` returned.
+        """
+        curl = future.curl
+        if curl in self._transfers:
+            del self._transfers[curl]
+            self._multi.remove_handle(curl)
+            curl.close()
+
+    def _prepare(self, curl, base_url, request, idempotent, transfer):
+        curl.setopt(pycurl.URL, base_url + request.target)
+        curl.setopt(pycurl.PATH_AS_IS, 1)
+        curl.setopt(pycurl.PROXY, "")
+        curl.setopt(pycurl.NOSIGNAL, 1)
+        curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        curl.setopt(pycurl.CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS)
+        curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        if request.method == "HEAD":
+            curl.setopt(pycurl.NOBODY, 1)
+        elif request.body or request.method not in _BODYLESS:
+            curl.setopt(pycurl.POST, 1)
+            curl.setopt(pycurl.POSTFIELDS, request.body)
+            curl.setopt(pycurl.CUSTOMREQUEST, request.method)
+        # libcurl sends a request again by itself when a kept connection
+        # turns out to be closed, even though the backend server may have
+        # read it; only a new connection rules that out.
+        curl.setopt(pycurl.FRESH_CONNECT, 0 if idempotent else 1)
+        lines = [f"{field.name}: {field.value}" for field in request.headers]
+        lines.append("expect:")
+        curl.setopt(pycurl.HTTPHEADER, lines)
+        curl.setopt(pycurl.HEADERFUNCTION, transfer.take_header)
+        curl.setopt(pycurl.WRITEFUNCTION, transfer.take_body)
+
+    def _watch_socket(self, action, descriptor, multi, data):
+        self._loop.remove_reader(descriptor)
+        self._loop.remove_writer(descriptor)
+        if action & pycurl.POLL_IN and action != pycurl.POLL_REMOVE:
+            self._loop.add_reader(
+                descriptor, self._act, descriptor, pycurl.CSELECT_IN
+            )
+        if action & pycurl.POLL_OUT and action != pycurl.POLL_REMOVE:
+            self._loop.add_writer(
+                descriptor, self._act, descriptor, pycurl.CSELECT_OUT
+            )
+
+    def _set_timer(self, timeout_ms):
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if timeout_ms >= 0:
+            self._timer = self._loop.call_later(
+                timeout_ms / 1000, self._act, pycurl.SOCKET_TIMEOUT, 0
+            )
+
+    def _act(self, descriptor, events):
+        self._multi.socket_action(descriptor, events)
+        while True:
+            queued, finished, failed = self._multi.info_read()
+            for curl in finished:
+                self._finish(curl, 0)
+            for curl, error, _detail in failed:
+                self._finish(curl, error)
+            if not queued:
+                return
+
+    def _finish(self, curl, error):
+        transfer = self._transfers.pop(curl)
+        result = _result(curl, transfer, error)
+        self._multi.remove_handle(curl)
+        if error == 0 and len(self._idle) < IDLE_HANDLES_MAX:
+            curl.reset()
+            self._idle.append(curl)
+        else:
+            curl.close()
+        transfer.future.set_result(result)
+
+
+def _result(curl, transfer, error):
+    if error == 0:
+        answer = http.HttpAnswer(
+            curl.getinfo(pycurl.RESPONSE_CODE),
+            transfer.headers,
+            bytes(transfer.body),
+        )
+        return BackendResult(answer, codes.OK)
+    if transfer.too_large:
+        return BackendResult(None, codes.ANSWER_TOO_LARGE)
+    if not curl.getinfo(pycurl.REQUEST_SIZE):
+        # No byte of the request was written.
+        return BackendResult(None, codes.CONNECT_FAILED)
+    if error == pycurl.E_PARTIAL_FILE:
+        return BackendResult(None, codes.SHORT_ANSWER)
+    return BackendResult(None, codes.BACKEND_FAILED)
--- /dev/null
+++ b/fescueyard/transport/datagrams.py
@@ -0,0 +1,84 @@
+"""Authenticated datagrams between processes, for gossip."""
+
+import asyncio
+import hashlib
+import hmac
+
+from fescueyard.core import exceptions
+from fescueyard.core import logs
+from fescueyard.core import wire
+from fescueyard.transport import streams
+
+LOG = logs.PartLogger("datagram")
+
+MAC_BYTES = 16
+DATAGRAM_BYTES_MAX = 1_400
+
+
+class DatagramSocket(asyncio.DatagramProtocol):
+    """Sends and receives messages as datagrams.
+
+    The handler gets ``datagram_received(message)`` for authentic ones only.
+
+    :param secret: cluster secret, bytes.
+    :param handler: object with the method above.
+    """
+
+    def __init__(self, secret, handler):
+        self._key = hmac.digest(secret, b"datagrams", "sha256")
+        self._handler = handler
+        self._transport = None
+
+    async def listen(self, address):
+        """Open the socket.
+
+        :param address: :class:`~fescueyard.transport.streams.Address`.
+        """
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.host, address.port)
+        )
+
+    def connection_made(self, transport):
+        """Keep the socket."""
+        self._transport = transport
+
+    def datagram_received(self, data, addr):
+        """Check and hand on a datagram; a forged one is dropped."""
+        payload = data[MAC_BYTES:]
+        if not hmac.compare_digest(self._mac(payload), data[:MAC_BYTES]):
+            LOG.warning("Datagram refused.", source=f"{addr[0]}:{addr[1]}")
+            return
+        try:
+            message = wire.decode(payload)
+        except exceptions.StreamError as error:
+            LOG.warning("Datagram refused.", detail=error.detail)
+            return
+        self._handler.datagram_received(message)
+
+    def error_received(self, exc):
+        """Ignore that a process is not there; probes find that out."""
+
+    def send(self, address_text, message):
+        """Send a message.
+
+        :param address_text: ``host:port``.
+        :param message: a registered message.
+        """
+        payload = wire.encode(message)
+        if len(payload) + MAC_BYTES > DATAGRAM_BYTES_MAX:
+            LOG.warning("Datagram too large.", bytes=len(payload))
+            return
+        address = streams.parse_address(address_text)
+        self._transport.sendto(
+            self._mac(payload) + payload, (address.host, address.port)
+        )
+
+    def close(self):
+        """Close the socket."""
+        self._transport.close()
+
+    def _mac(self, payload):
+        return hashlib.blake2b(
+            payload, digest_size=MAC_BYTES, key=self._key
+        ).digest()
--- /dev/null
+++ b/fescueyard/transport/handshake.py
@@ -0,0 +1,109 @@
+"""Mutual authentication of two processes with the cluster secret.
+
+Each side proves that it holds the secret over both sides' nonces; the proof
+of one direction is no proof for the other. The stream's frame keys are derived
+from the same nonces, so a recorded stream can't be replayed.
+"""
+
+import dataclasses
+import hashlib
+import hmac
+import secrets
+
+from fescueyard.core import exceptions
+from fescueyard.core import wire
+
+NONCE_BYTES = 16
+PROTOCOL_VERSION = 1
+
+
+@wire.message(1)
+@dataclasses.dataclass(slots=True)
+class Hello:
+    """First message of the dialling side."""
+
+    protocol_version: int
+    process_id: str
+    nonce: bytes
+
+
+@wire.message(2)
+@dataclasses.dataclass(slots=True)
+class HelloAnswer:
+    """Answer of the accepting side, with its proof."""
+
+    process_id: str
+    nonce: bytes
+    proof: bytes
+
+
+@wire.message(3)
+@dataclasses.dataclass(slots=True)
+class HelloProof:
+    """Proof of the dialling side."""
+
+    proof: bytes
+
+
+@dataclasses.dataclass(frozen=True)
+class FrameKeys:
+    """Keys of the two directions of a stream."""
+
+    dialler: bytes
+    acceptor: bytes
+
+
+def new_nonce():
+    """Make a nonce.
+
+    :returns: random bytes.
+    """
+    return secrets.token_bytes(NONCE_BYTES)
+
+
+def proof(secret, side, hello, process_id, nonce):
+    """Prove that a side holds the secret.
+
+    :param secret: cluster secret, bytes.
+    :param side: ``b"dialler"`` or ``b"acceptor"``.
+    :param hello: the dialler's :class:`Hello`.
+    :param process_id: the acceptor's id.
+    :param nonce: the acceptor's nonce.
+    :returns: bytes.
+    """
+    text = wire.encode(hello) + process_id.encode() + nonce
+    return hmac.digest(secret, side + b"\0" + text, "sha256")
+
+
+def check_proof(secret, side, hello, process_id, nonce, given):
+    """Check the other side's proof.
+
+    :raises PeerRefused: when the proof is wrong.
+    """
+    expected = proof(secret, side, hello, process_id, nonce)
+    if not hmac.compare_digest(expected, given):
+        raise exceptions.PeerRefused("the peer does not hold the secret")
+
+
+def frame_keys(secret, hello, process_id, nonce):
+    """Derive the keys that authenticate the frames.
+
+    :returns: :class:`FrameKeys`.
+    """
+    dialler = proof(secret, b"dialler frames", hello, process_id, nonce)
+    acceptor = proof(secret, b"acceptor frames", hello, process_id, nonce)
+    return FrameKeys(dialler, acceptor)
+
+
+def frame_mac(key, sequence, payload):
+    """Authenticate one frame.
+
+    :param key: key of the direction.
+    :param sequence: number of the frame in its direction, from 0.
+    :param payload: the frame's bytes.
+    :returns: 16 bytes.
+    """
+    mac = hashlib.blake2b(digest_size=16, key=key)
+    mac.update(sequence.to_bytes(8, "big"))
+    mac.update(payload)
+    return mac.digest()
--- /dev/null
+++ b/fescueyard/transport/http_server.py
@@ -0,0 +1,271 @@
+"""HTTP/1.1 listener: parses whole requests and writes whole answers."""
+
+import asyncio
+import http
+import itertools
+
+import httptools
+
+from fescueyard.core import codes
+from fescueyard.core import http as http_models
+from fescueyard.core import problems
+
+HEADER_BYTES_MAX = 16 * 1024
+IDLE_TIMEOUT_S = 60.0
+REQUEST_TIMEOUT_S = 30.0
+
+_SEQUENCE = itertools.count(1)
+_REASONS = {status.value: status.phrase for status in http.HTTPStatus}
+
+
+class HttpConnection(asyncio.Protocol):
+    """One caller's connection; requests on it are served one at a time.
+
+    The handler gets ``request_received(exchange_id, request, connection)``
+    and ``caller_left(exchange_id)``.
+
+    :param handler: object with the two methods above.
+    :param body_bytes_max: largest body accepted.
+    :param connections: set that holds the open connections.
+    """
+
+    def __init__(self, handler, body_bytes_max, connections):
+        self._handler = handler
+        self._body_bytes_max = body_bytes_max
+        self._connections = connections
+        self._transport = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._pending = []
+        self._exchange_id = None
+        self._timer = None
+        self._closing = False
+        self._keep_alive = True
+        self._refusal = None
+        self._reset()
+
+    def connection_made(self, transport):
+        """Start waiting for a request."""
+        self._transport = transport
+        self._connections.add(self)
+        self._restart_timer(IDLE_TIMEOUT_S)
+
+    def connection_lost(self, exc):
+        """Cancel the request in progress."""
+        self._connections.discard(self)
+        self._timer.cancel()
+        self._pending.clear()
+        if self._exchange_id is not None:
+            exchange_id = self._exchange_id
+            self._exchange_id = None
+            self._handler.caller_left(exchange_id)
+
+    def data_received(self, data):
+        """Parse bytes; malformed input gets its numbered error."""
+        if self._refusal is not None:
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._refuse(codes.BAD_REQUEST)
+        except httptools.HttpParserError:
+            if self._refusal is None:
+                self._refuse(codes.BAD_REQUEST)
+        if self._refusal is not None and self._exchange_id is None:
+            self._write_refusal()
+
+    def answer(self, answer):
+        """Write the answer of the request in progress.
+
+        :param answer: :class:`~fescueyard.core.http.HttpAnswer`.
+        """
+        keep_alive = self._keep_alive and not self._closing
+        self._exchange_id = None
+        self._transport.write(serialise(answer, keep_alive, self._head_only))
+        if not keep_alive:
+            self._transport.close()
+            return
+        self._transport.resume_reading()
+        self._restart_timer(IDLE_TIMEOUT_S)
+        if self._pending:
+            self._start(self._pending.pop(0))
+        elif self._refusal is not None:
+            self._write_refusal()
+
+    def close_when_idle(self):
+        """Close now, or after the answer of the request in progress."""
+        self._closing = True
+        if self._exchange_id is None:
+            self._transport.close()
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self):
+        """Start a new request."""
+        self._reset()
+        self._restart_timer(REQUEST_TIMEOUT_S)
+
+    def on_url(self, url):
+        """Collect the target."""
+        self._url += url
+        self._count_header_bytes(len(url))
+
+    def on_header(self, name, value):
+        """Collect a header."""
+        self._count_header_bytes(len(name) + len(value))
+        self._headers.append(
+            http_models.Header(
+                name.decode("latin-1").lower(), value.decode("latin-1").strip()
+            )
+        )
+
+    def on_headers_complete(self):
+        """Check the announced length; allow the body to come."""
+        method = self._parser.get_method().decode("latin-1")
+        self._method = method
+        length = http_models.find_header(self._headers, "content-length")
+        if length is not None and int(length) > self._body_bytes_max:
+            self._refuse(codes.BODY_TOO_LARGE)
+            return
+        expect = http_models.find_header(self._headers, "expect")
+        if expect is not None and expect.lower() == "100-continue":
+            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body):
+        """Collect a piece of the body."""
+        if self._refusal is not None:
+            return
+        self._body += body
+        if len(self._body) > self._body_bytes_max:
+            self._refuse(codes.BODY_TOO_LARGE)
+
+    def on_message_complete(self):
+        """Start the request, or queue it behind the one in progress."""
+        if self._refusal is not None:
+            return
+        request = http_models.HttpRequest(
+            self._method,
+            self._url.decode("latin-1"),
+            self._headers,
+            bytes(self._body),
+        )
+        parsed = _Parsed(request, self._parser.should_keep_alive())
+        if self._exchange_id is None:
+            self._start(parsed)
+        else:
+            self._transport.pause_reading()
+            self._pending.append(parsed)
+
+    def _start(self, parsed):
+        self._timer.cancel()
+        self._keep_alive = parsed.keep_alive
+        self._head_only = parsed.request.method == "HEAD"
+        self._exchange_id = next(_SEQUENCE)
+        self._handler.request_received(self._exchange_id, parsed.request, self)
+
+    def _reset(self):
+        self._url = b""
+        self._headers = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._method = ""
+        self._head_only = False
+
+    def _count_header_bytes(self, count):
+        self._header_bytes += count
+        if self._header_bytes > HEADER_BYTES_MAX:
+            self._refuse(codes.HEADERS_TOO_LARGE)
+
+    def _refuse(self, code):
+        if self._refusal is None:
+            self._refusal = code
+
+    def _write_refusal(self):
+        answer = problems.problem(self._refusal)
+        self._transport.write(serialise(answer, False, False))
+        self._transport.close()
+
+    def _restart_timer(self, timeout_s):
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(timeout_s, self._time_out)
+
+    def _time_out(self):
+        if self._exchange_id is None:
+            self._transport.close()
+
+
+class _Parsed:
+    def __init__(self, request, keep_alive):
+        self.request = request
+        self.keep_alive = keep_alive
+
+
+class HttpServer:
+    """A listener and its open connections.
+
+    :param handler: see :class:`HttpConnection`.
+    :param body_bytes_max: largest body accepted.
+    """
+
+    def __init__(self, handler, body_bytes_max):
+        self._handler = handler
+        self._body_bytes_max = body_bytes_max
+        self._connections = set()
+        self._server = None
+
+    async def listen(self, address):
+        """Accept connections.
+
+        :param address: where to listen.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: HttpConnection(
+                self._handler, self._body_bytes_max, self._connections
+            ),
+            address.host,
+            address.port,
+            backlog=1024,
+        )
+
+    def close_when_idle(self):
+        """Stop accepting; close each connection after its request."""
+        self._server.close()
+        for connection in list(self._connections):
+            connection.close_when_idle()
+
+    def connection_count(self):
+        """Count the open connections.
+
+        :returns: number of connections.
+        """
+        return len(self._connections)
+
+
+_OWN_HEADERS = ("connection", "content-length", "transfer-encoding")
+
+
+def serialise(answer, keep_alive, head_only):
+    """Write out an answer.
+
+    :param answer: :class:`~fescueyard.core.http.HttpAnswer`.
+    :param keep_alive: whether the connection stays open.
+    :param head_only: leave the body out, for HEAD.
+    :returns: bytes.
+    """
+    reason = _REASONS.get(answer.status, "Unknown")
+    lines = [f"HTTP/1.1 {answer.status} {reason}"]
+    for header in answer.headers:
+        if header.name not in _OWN_HEADERS:
+            lines.append(f"{header.name}: {header.value}")
+    if answer.status not in (204, 304):
+        length = len(answer.body)
+        given = http_models.find_header(answer.headers, "content-length")
+        if head_only and given is not None:
+            length = given
+        lines.append(f"content-length: {length}")
+    lines.append("connection: " + ("keep-alive" if keep_alive else "close"))
+    head = "\r\n".join(lines) + "\r\n\r\n"
+    body = b"" if head_only or answer.status in (204, 304) else answer.body
+    return head.encode("latin-1", "replace") + body
--- /dev/null
+++ b/fescueyard/transport/streams.py
@@ -0,0 +1,373 @@
+"""Authenticated msgpack streams between processes."""
+
+import asyncio
+import dataclasses
+import hmac
+import struct
+
+from fescueyard.core import exceptions
+from fescueyard.core import logs
+from fescueyard.core import wire
+from fescueyard.transport import handshake
+
+LOG = logs.PartLogger("stream")
+
+LENGTH = struct.Struct("!I")
+MAC_BYTES = 16
+HANDSHAKE_BYTES_MAX = 4096
+HANDSHAKE_TIMEOUT_S = 3.0
+CONNECT_TIMEOUT_S = 1.0
+FRAME_BYTES_MAX = 32 * 1024 * 1024
+UNSENT_BYTES_MAX = 64 * 1024 * 1024
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """IP number and port of a process.
+
+    :param host: IP number.
+    :param port: port number.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self):
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text):
+    """Parse ``host:port``.
+
+    :param text: the text.
+    :returns: :class:`Address`.
+    :raises SettingsError: when the text is no address.
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not host or not port.isdigit():
+        raise exceptions.SettingsError(f"not host:port: {text!r}")
+    return Address(host, int(port))
+
+
+class _Frames:
+    """Splits received bytes into payloads."""
+
+    def __init__(self):
+        self._buffer = bytearray()
+
+    def feed(self, data):
+        self._buffer += data
+
+    def take(self, overhead, limit):
+        """Take one whole frame.
+
+        :param overhead: bytes between the length and the payload.
+        :param limit: largest payload accepted, in bytes.
+        :returns: the frame's bytes without the length, or None.
+        :raises StreamError: when the frame is larger than the limit.
+        """
+        if len(self._buffer) < LENGTH.size:
+            return None
+        (length,) = LENGTH.unpack_from(self._buffer)
+        if length > limit:
+            raise exceptions.StreamError(f"frame of {length} bytes")
+        end = LENGTH.size + overhead + length
+        if len(self._buffer) < end:
+            return None
+        frame = bytes(memoryview(self._buffer)[LENGTH.size : end])
+        del self._buffer[:end]
+        return frame
+
+
+class PeerStream(asyncio.Protocol):
+    """One stream to another process; see the handshake module.
+
+    :param pool: the :class:`StreamPool` that owns the stream.
+    :param address: the dialled address; None on the accepting side.
+    """
+
+    def __init__(self, pool, address=None):
+        self.address = address
+        self.peer_id = None
+        self.ready = False
+        self._pool = pool
+        self._transport = None
+        self._frames = _Frames()
+        self._hello = None
+        self._nonce = handshake.new_nonce()
+        self._sequence_in = 0
+        self._sequence_out = 0
+        self._key_in = None
+        self._key_out = None
+        self._timer = None
+
+    def connection_made(self, transport):
+        """Start the handshake."""
+        self._transport = transport
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(HANDSHAKE_TIMEOUT_S, self._time_out)
+        if self.address is not None:
+            self._hello = handshake.Hello(
+                handshake.PROTOCOL_VERSION, self._pool.process_id, self._nonce
+            )
+            self._write_bare(self._hello)
+
+    def data_received(self, data):
+        """Take in bytes; a malformed or forged frame closes the stream."""
+        self._frames.feed(data)
+        try:
+            self._read_frames()
+        except exceptions.StreamError as error:
+            LOG.warning(
+                "Stream refused.",
+                peer=self.peer_id,
+                code=error.code.number,
+                detail=error.detail,
+            )
+            self.close()
+
+    def connection_lost(self, exc):
+        """Tell the pool that the stream is gone."""
+        self._timer.cancel()
+        self.ready = False
+        self._pool.stream_lost(self)
+
+    def send(self, message):
+        """Send a message on a ready stream.
+
+        :param message: a registered message.
+        """
+        payload = wire.encode(message)
+        mac = handshake.frame_mac(self._key_out, self._sequence_out, payload)
+        self._sequence_out += 1
+        self._transport.write(LENGTH.pack(len(payload)) + mac + payload)
+        if self._transport.get_write_buffer_size() > UNSENT_BYTES_MAX:
+            LOG.warning("Peer reads too slowly.", peer=self.peer_id)
+            self._transport.abort()
+
+    def close(self):
+        """Close the stream after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self):
+        """Close the stream at once."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _time_out(self):
+        if not self.ready:
+            self.abort()
+
+    def _read_frames(self):
+        while not self._transport.is_closing():
+            if self.ready:
+                frame = self._frames.take(MAC_BYTES, FRAME_BYTES_MAX)
+            else:
+                frame = self._frames.take(0, HANDSHAKE_BYTES_MAX)
+            if frame is None:
+                return
+            if self.ready:
+                self._take_message(frame)
+            else:
+                self._take_handshake(wire.decode(frame))
+
+    def _take_message(self, frame):
+        payload = frame[MAC_BYTES:]
+        mac = handshake.frame_mac(self._key_in, self._sequence_in, payload)
+        if not hmac.compare_digest(mac, frame[:MAC_BYTES]):
+            raise exceptions.StreamError("frame fails authentication")
+        self._sequence_in += 1
+        self._pool.message_received(self, wire.decode(payload))
+
+    def _take_handshake(self, message):
+        if isinstance(message, handshake.Hello) and self.address is None:
+            self._answer_hello(message)
+        elif isinstance(message, handshake.HelloAnswer) and self.address:
+            self._finish_dialling(message)
+        elif isinstance(message, handshake.HelloProof) and self._hello:
+            self._finish_accepting(message)
+        else:
+            raise exceptions.PeerRefused("message before authentication")
+
+    def _answer_hello(self, hello):
+        if self._hello is not None:
+            raise exceptions.PeerRefused("second hello")
+        if hello.protocol_version != handshake.PROTOCOL_VERSION:
+            raise exceptions.PeerRefused("unknown protocol version")
+        if len(hello.nonce) != handshake.NONCE_BYTES:
+            raise exceptions.PeerRefused("nonce of the wrong size")
+        self._hello = hello
+        pool = self._pool
+        given = handshake.proof(
+            pool.secret, b"acceptor", hello, pool.process_id, self._nonce
+        )
+        self._write_bare(
+            handshake.HelloAnswer(pool.process_id, self._nonce, given)
+        )
+
+    def _finish_dialling(self, answer):
+        pool = self._pool
+        handshake.check_proof(
+            pool.secret,
+            b"acceptor",
+            self._hello,
+            answer.process_id,
+            answer.nonce,
+            answer.proof,
+        )
+        given = handshake.proof(
+            pool.secret,
+            b"dialler",
+            self._hello,
+            answer.process_id,
+            answer.nonce,
+        )
+        self._write_bare(handshake.HelloProof(given))
+        keys = handshake.frame_keys(
+            pool.secret, self._hello, answer.process_id, answer.nonce
+        )
+        self._key_in = keys.acceptor
+        self._key_out = keys.dialler
+        self._become_ready(answer.process_id)
+
+    def _finish_accepting(self, message):
+        pool = self._pool
+        hello = self._hello
+        handshake.check_proof(
+            pool.secret,
+            b"dialler",
+            hello,
+            pool.process_id,
+            self._nonce,
+            message.proof,
+        )
+        keys = handshake.frame_keys(
+            pool.secret, hello, pool.process_id, self._nonce
+        )
+        self._key_in = keys.dialler
+        self._key_out = keys.acceptor
+        self._become_ready(hello.process_id)
+
+    def _become_ready(self, peer_id):
+        self.peer_id = peer_id
+        self.ready = True
+        self._timer.cancel()
+        self._pool.stream_ready(self)
+
+    def _write_bare(self, message):
+        payload = wire.encode(message)
+        self._transport.write(LENGTH.pack(len(payload)) + payload)
+
+
+class StreamPool:
+    """All streams of a process; dials on demand.
+
+    The handler gets ``message_received(stream, message)``,
+    ``stream_lost(stream)`` and ``message_unsent(address, message)``; the last
+    is called only for messages of which no byte went out.
+
+    :param process_id: this process's id.
+    :param secret: cluster secret, bytes.
+    :param handler: object with the three methods above.
+    """
+
+    def __init__(self, process_id, secret, handler):
+        self.process_id = process_id
+        self.secret = secret
+        self._handler = handler
+        self._dialled = {}
+        self._waiting = {}
+        self._open = set()
+        self._tasks = set()
+
+    async def listen(self, address):
+        """Accept streams.
+
+        :param address: :class:`Address` to listen on.
+        :returns: the server.
+        """
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: self._track(PeerStream(self)), address.host, address.port
+        )
+
+    def send(self, address, message):
+        """Send a message, dialling first where needed.
+
+        :param address: the peer's :class:`Address`.
+        :param message: a registered message.
+        """
+        stream = self._dialled.get(address)
+        if stream is not None and stream.ready:
+            stream.send(message)
+            return
+        waiting = self._waiting.setdefault(address, [])
+        waiting.append(message)
+        if len(waiting) == 1:
+            self._start_dialling(address)
+
+    def close(self):
+        """Close every stream."""
+        for stream in list(self._open):
+            stream.close()
+
+    def abort(self, address):
+        """Drop the stream to an address, for a peer known to be gone."""
+        stream = self._dialled.get(address)
+        if stream is not None:
+            stream.abort()
+
+    def stream_count(self):
+        """Count the open streams.
+
+        :returns: number of streams.
+        """
+        return len(self._open)
+
+    def stream_ready(self, stream):
+        """Send what waited for the stream."""
+        if stream.address is None:
+            return
+        self._dialled[stream.address] = stream
+        for message in self._waiting.pop(stream.address, []):
+            stream.send(message)
+
+    def stream_lost(self, stream):
+        """Forget a stream and report what could not be sent."""
+        self._open.discard(stream)
+        if stream.address is not None:
+            if self._dialled.get(stream.address) is stream:
+                del self._dialled[stream.address]
+            self._report_unsent(stream.address)
+        self._handler.stream_lost(stream)
+
+    def message_received(self, stream, message):
+        """Hand a message to the handler."""
+        self._handler.message_received(stream, message)
+
+    def _track(self, stream):
+        self._open.add(stream)
+        return stream
+
+    def _start_dialling(self, address):
+        loop = asyncio.get_running_loop()
+        task = loop.create_task(self._dial(address))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _dial(self, address):
+        loop = asyncio.get_running_loop()
+        connecting = loop.create_connection(
+            lambda: self._track(PeerStream(self, address)),
+            address.host,
+            address.port,
+        )
+        try:
+            await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
+        except OSError:
+            self._report_unsent(address)
+
+    def _report_unsent(self, address):
+        for message in self._waiting.pop(address, []):
+            self._handler.message_unsent(address, message)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the packages, ``faults`` starts processes."""
--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Tests with real processes on loopback."""
