--- /dev/null
+++ b/tests/faults/test_path.py
@@ -0,0 +1,60 @@
+"""The whole path: what a caller sees of it."""
+
+import json
+
+import pytest
+
+
+def test_answer_is_whole_and_marked_as_run(small_fleet):
+    answer = small_fleet.call(
+        small_fleet.nodes[0],
+        "/orders/work?body=abc&times=1000",
+        small_fleet.keys["board"],
+    )
+    assert answer.status == 200
+    assert answer.body == b"abc" * 1000
+
+
+def test_chain_goes_on_through_the_own_node(small_fleet):
+    answer = small_fleet.call(
+        small_fleet.nodes[1],
+        "/orders/call/orders/call/orders/work?body=deep",
+        small_fleet.keys["board"],
+    )
+    assert answer.status == 200
+    assert answer.body == b"deep"
+
+
+def test_backend_server_sees_no_key_in_any_header(small_fleet):
+    key = small_fleet.keys["board"]
+    answer = small_fleet.call(
+        small_fleet.nodes[2],
+        "/orders/echo",
+        key,
+        cookie=f"session={key}",
+        x_api_key=key,
+        fescueyard_customer="limewash",
+    )
+    seen = json.loads(answer.body)["headers"]
+    assert key not in answer.body.decode()
+    assert seen["fescueyard-customer"] == "board"
+
+
+@pytest.mark.parametrize(
+    ("target", "key", "headers", "status", "code"),
+    [
+        ("/orders/work", "", {}, 401, 2005),
+        ("/orders/work", "fyk_" + "x" * 43, {}, 401, 2006),
+        ("/nothing/work", "board", {}, 404, 2003),
+        ("/orders/work", "board", {"fescueyard_deadline_ms": "x"}, 400, 2004),
+        ("/orders/work", "board", {"fescueyard_priority": "-1"}, 400, 2004),
+        ("/orders/work", "board", {"x_long": "x" * 20_000}, 431, 2001),
+        ("/orders/drop", "board", {}, 502, 2302),
+        ("/orders/short", "board", {}, 502, 2303),
+    ],
+)
+def test_refusal_has_its_code(small_fleet, target, key, headers, status, code):
+    key = small_fleet.keys.get(key, key)
+    answer = small_fleet.call(small_fleet.nodes[0], target, key, **headers)
+    assert answer.status == status
+    assert json.loads(answer.body)["code"] == code
