--- /dev/null
+++ b/benchmarks/two_hops.py
@@ -0,0 +1,161 @@
+"""Time that two hops add to a call, against the same call without them.
+
+Calls straight to the backend server and calls through a node alternate in one
+run, so that the machine's own noise falls on both. The runs are repeated and
+the median of the differences counts.
+"""
+
+import asyncio
+import dataclasses
+import os
+import statistics
+import tempfile
+import time
+
+from benchmarks import report
+from demo import fleet as fleets
+from fescueyard.core import http
+from fescueyard.transport import backend_client
+
+BACKEND_MS = 5
+RATES_PER_S = (125, 500)
+SECONDS = 4
+REPEATS = 3
+WARM_UP_CALLS = 200
+ADDED_P99_MS_MAX = 1.6
+MEMORY_MB_MAX = 128
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+
+
+@dataclasses.dataclass
+class Run:
+    """Latencies of one run, in ms."""
+
+    straight: list[float]
+    through: list[float]
+
+
+def measure():
+    """Run the benchmark.
+
+    :returns: list of :class:`~benchmarks.report.Row`.
+    """
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = fleets.Fleet(folder)
+        try:
+            fleet.add_control("zone-a")
+            entry = fleet.add_node("zone-a")
+            server = fleet.add_node("zone-a", "orders", slots=200)
+            fleet.configure("orders")
+            fleet.await_ready("orders", fleet.keys["board"])
+            rows = []
+            for rate_per_s in RATES_PER_S:
+                rows += _measure_rate(fleet, entry, server, rate_per_s)
+            rows += _memory_rows(entry, server)
+            return rows
+        finally:
+            fleet.kill()
+
+
+def _measure_rate(fleet, entry, server, rate_per_s):
+    load = _Load(
+        f"http://{server.server_address}",
+        f"http://{entry.caller_address}",
+        fleet.keys["board"],
+    )
+    asyncio.run(load.run(rate_per_s, WARM_UP_CALLS))
+    p50s = []
+    p99s = []
+    before_s = _cpu_s(entry) + _cpu_s(server)
+    count = rate_per_s * SECONDS
+    for _ in range(REPEATS):
+        run = asyncio.run(load.run(rate_per_s, count))
+        p50s.append(_quantile(run.through, 50) - _quantile(run.straight, 50))
+        p99s.append(_quantile(run.through, 99) - _quantile(run.straight, 99))
+    used_s = _cpu_s(entry) + _cpu_s(server) - before_s
+    per_1000 = used_s / (count * REPEATS) * 1000
+    name = f"two hops, {rate_per_s} calls/s"
+    spread = f"runs {', '.join(f'{value:.2f}' for value in p99s)}"
+    bound = ADDED_P99_MS_MAX if rate_per_s == RATES_PER_S[0] else None
+    return [
+        report.Row(f"{name}: added p50", statistics.median(p50s), "ms"),
+        report.Row(
+            f"{name}: added p99",
+            statistics.median(p99s),
+            "ms",
+            bound,
+            note=spread,
+        ),
+        report.Row(f"{name}: both nodes' CPU", per_1000, "s/1000 calls"),
+    ]
+
+
+def _memory_rows(entry, server):
+    rows = []
+    for name, node in (("entry", entry), ("server", server)):
+        path = f"/proc/{node.process.pid}/status"
+        with open(path, encoding="ascii") as file:
+            lines = dict(line.split(":", 1) for line in file)
+        used_mb = int(lines["VmRSS"].split()[0]) / 1024
+        rows.append(
+            report.Row(f"memory of {name} node", used_mb, "MB", MEMORY_MB_MAX)
+        )
+    return rows
+
+
+class _Load:
+    """Sends calls straight and through in turn, at a fixed rate each."""
+
+    def __init__(self, straight_url, through_url, key):
+        self._straight_url = straight_url
+        self._through_url = through_url
+        self._key = key
+
+    async def run(self, rate_per_s, count):
+        client = backend_client.BackendClient(1_000, 1024 * 1024)
+        run = Run([], [])
+        pending = []
+        loop = asyncio.get_running_loop()
+        start_s = loop.time()
+        for number in range(2 * count):
+            due_s = start_s + number / (2 * rate_per_s)
+            await asyncio.sleep(max(0, due_s - loop.time()))
+            through = number % 2 == 1
+            pending.append(self._send(client, run, through))
+        await asyncio.gather(*pending)
+        return run
+
+    def _send(self, client, run, through):
+        target = f"/work?ms={BACKEND_MS}"
+        url = self._straight_url
+        headers = []
+        latencies = run.straight
+        if through:
+            target = "/orders" + target
+            url = self._through_url
+            headers = [http.Header("authorization", f"Bearer {self._key}")]
+            latencies = run.through
+        request = http.HttpRequest("GET", target, headers, b"")
+        done = asyncio.get_running_loop().create_future()
+        started_s = time.perf_counter()
+
+        def end(future):
+            answer = future.result().answer
+            if answer is None or answer.status != 200:
+                raise RuntimeError(f"call failed: {future.result()}")
+            latencies.append((time.perf_counter() - started_s) * 1000)
+            done.set_result(None)
+
+        client.fetch(url, request, True).add_done_callback(end)
+        return done
+
+
+def _quantile(values, percent):
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
+
+
+def _cpu_s(node):
+    with open(f"/proc/{node.process.pid}/stat", encoding="ascii") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -143,7 +143,6 @@
             f"--backend_address={node.backend_address}",
             f"--control_addresses={seeds}",
         )
-        self._await_port(node.caller_address)
 
     def start_backend(self, node, slots=20):
         """Start the backend server of a node.
@@ -193,12 +192,17 @@
 
         :returns: :class:`~fescueyard.management.client.AdminClient`.
         """
-        return client.AdminClient(
-            settings.OperatorSettings(
-                admin_addresses=[row.admin_address for row in self.controls],
-                operator_token=self.token,
-                timeout_ms=timeout_ms,
-            )
+        return client.AdminClient(self.settings(self.controls, timeout_ms))
+
+    def settings(self, controls, timeout_ms=10_000):
+        """Make an operator's settings for some of the control processes.
+
+        :returns: :class:`~fescueyard.conf.settings.OperatorSettings`.
+        """
+        return settings.OperatorSettings(
+            admin_addresses=[row.admin_address for row in controls],
+            operator_token=self.token,
+            timeout_ms=timeout_ms,
         )
 
     def put(self, kind, name, document, expected_version=0):
@@ -289,7 +293,7 @@
         """
         end_s = time.monotonic() + timeout_s
         for node in self.nodes:
-            while self.call(node, f"/{service}/work", key).status != 200:
+            while not self._reaches(node, service, key):
                 if time.monotonic() > end_s:
                     raise TimeoutError(f"{node.name} does not reach {service}")
                 time.sleep(0.05)
@@ -322,6 +326,12 @@
                 process.kill()
                 process.wait()
 
+    def _reaches(self, node, service, key):
+        try:
+            return self.call(node, f"/{service}/work", key).status == 200
+        except client.Unreachable:
+            return False
+
     def _control_flags(self, control):
         others = [row.address for row in self.controls if row is not control]
         return [
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -68,6 +68,7 @@
         self._admin = http_server.HttpServer(self, ADMIN_BODY_BYTES_MAX)
         self._commands = {}
         self._connections = {}
+        self._peer_streams = {}
         self._role = None
         self._stopping_since_ms = None
 
@@ -108,6 +109,7 @@
 
     def message_received(self, stream, message):
         """Take in a message of another process."""
+        self._peer_streams[stream.peer_id] = stream
         if not self._receive(message, stream.peer_id, stream):
             stream.close()
 
@@ -116,7 +118,9 @@
         self._receive(message, "", None)
 
     def stream_lost(self, stream):
-        """Streams to other control VMs are dialled again on demand."""
+        """Forget a stream; it is dialled again on demand."""
+        if self._peer_streams.get(stream.peer_id) is stream:
+            del self._peer_streams[stream.peer_id]
 
     def message_unsent(self, address, message):
         """Every message here is sent again or times out."""
@@ -247,6 +251,12 @@
             if member is not None:
                 address = streams.parse_address(member.address)
                 self._pool.send(address, outgoing.message)
+                continue
+            # A member that has not caught up does not know the others yet;
+            # it answers the way the question came.
+            stream = self._peer_streams.get(outgoing.member_id)
+            if stream is not None and stream.ready:
+                stream.send(outgoing.message)
 
     def _send_effects(self):
         pending = self._tables.effects
--- a/fescueyard/core/wire.py
+++ b/fescueyard/core/wire.py
@@ -6,6 +6,8 @@
 """
 
 import dataclasses
+import functools
+import operator
 import typing
 
 import msgpack
@@ -92,48 +94,64 @@
 
 
 def _flatten(value):
-    values = []
-    for field in _fields(type(value)):
-        item = getattr(value, field.name)
-        if field.nested and item is not None:
-            item = _flatten(item)
-        elif field.item:
-            item = [_flatten(entry) for entry in item]
-        values.append(item)
+    plain, fields = _fields(type(value))
+    values = list(plain(value))
+    for position, field in fields:
+        item = values[position]
+        if field.nested:
+            if item is not None:
+                values[position] = _flatten(item)
+        else:
+            values[position] = [_flatten(entry) for entry in item]
     return values
 
 
 def _build(cls, values, depth):
-    fields = _fields(cls)
+    fields = _all_fields(cls)
     if not isinstance(values, list) or len(values) != len(fields):
         raise _bad(f"{cls.__name__}: wrong number of fields")
     if depth > _MAX_DEPTH:
         raise _bad(f"{cls.__name__}: nested too deeply")
-    built = []
-    for field, value in zip(fields, values):
-        built.append(_build_field(cls, field, value, depth))
-    return cls(*built)
+    for position, field in enumerate(fields):
+        value = values[position]
+        if field.nested and value is not None:
+            values[position] = _build(field.nested, value, depth + 1)
+        elif field.types and not isinstance(value, field.types):
+            raise _bad(f"{cls.__name__}.{field.name}: wrong type")
+        elif field.item:
+            values[position] = [
+                _build(field.item, entry, depth + 1) for entry in value
+            ]
+    return cls(*values)
 
 
-def _build_field(cls, field, value, depth):
-    if field.nested and value is not None:
-        return _build(field.nested, value, depth + 1)
-    if field.types and not isinstance(value, field.types):
-        raise _bad(f"{cls.__name__}.{field.name}: wrong type")
-    if field.item:
-        return [_build(field.item, entry, depth + 1) for entry in value]
-    return value
+@functools.cache
+def _fields(cls):
+    """Prepare a class for flattening.
 
+    :returns: a getter of all field values, and the fields that hold other
+        data classes with their positions.
+    """
+    fields = _all_fields(cls)
+    names = [field.name for field in fields]
+    if len(names) == 1:
+        name = names[0]
 
-_FIELD_CACHE = {}
+        def getter(value):
+            return (getattr(value, name),)
 
+    else:
+        getter = operator.attrgetter(*names)
+    special = []
+    for position, field in enumerate(fields):
+        if field.nested or field.item:
+            special.append((position, field))
+    return getter, special
 
-def _fields(cls):
-    fields = _FIELD_CACHE.get(cls)
-    if fields is None:
-        fields = _describe(cls)
-        _FIELD_CACHE[cls] = fields
-    return fields
+
+@functools.cache
+def _all_fields(cls):
+    return _describe(cls)
 
 
 def _describe(cls):
@@ -163,11 +181,7 @@
 
 
 def _is_union(hint):
-    return (
-        typing.get_origin(hint) is not None
-        and hasattr(hint, "__or__")
-        and type(None) in typing.get_args(hint)
-    )
+    return type(None) in typing.get_args(hint)
 
 
 def _dataclass_or_none(hint):
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -95,6 +95,21 @@
     _ask_all(tables, now_ms)
 
 
+def next_due_ms(tables, now_ms):
+    """Say when the next tick is needed here.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: a time; infinite when there is nothing to report or ask.
+    """
+    table = tables.limits
+    if table.waiting:
+        return now_ms + ASK_PAUSE_MS
+    if table.holdings:
+        return now_ms + NODE_REPORT_MS
+    return float("inf")
+
+
 def release(tables, now_ms):
     """Hand every token back before a planned stop.
 
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -31,7 +31,7 @@
 
 LOG = logs.PartLogger("node")
 
-TICK_S = 0.01
+TICK_MIN_MS = 1.0
 BACKEND_CONNECTIONS_MAX = 1_000
 # Time for the last answers and the goodbye to leave the sockets.
 GOODBYE_S = 0.2
@@ -96,6 +96,9 @@
         )
         self._connections = {}
         self._run_futures = {}
+        self._finishing = False
+        self._timer = None
+        self._tick_due_ms = 0.0
 
     async def start(self):
         """Listen and start ticking."""
@@ -175,7 +178,7 @@
                 detail=error.detail,
             )
             stream.close()
-        self._run_effects()
+        self._settle(now_ms)
 
     def datagram_received(self, message):
         """Take in a datagram."""
@@ -185,7 +188,7 @@
             systems.receive(message, self._tables, sender, now_ms)
         except exceptions.StreamError as error:
             LOG.warning("Datagram refused.", detail=error.detail)
-        self._run_effects()
+        self._settle(now_ms)
 
     def stream_lost(self, stream):
         """End what depended on a stream."""
@@ -233,17 +236,34 @@
 
     def _tick(self):
         now_ms = clock.now_ms()
+        self._timer = None
         systems.tick(self._tables, now_ms)
         self._run_effects()
         loop = asyncio.get_running_loop()
         if self._tables.draining and systems.is_idle(self._tables):
+            self._finishing = True
             systems.say_goodbye(self._tables, now_ms)
             self._run_effects()
             self._callers.close_when_idle()
             self._backend_callers.close_when_idle()
             loop.call_later(GOODBYE_S, self._finish)
             return
-        loop.call_later(TICK_S, self._tick)
+        self._schedule_tick(now_ms)
+
+    def _schedule_tick(self, now_ms):
+        """Have the next tick run when it is due and no earlier."""
+        if self._finishing:
+            return
+        due_ms = systems.next_due_ms(self._tables, now_ms)
+        due_ms = max(due_ms, now_ms + TICK_MIN_MS)
+        if self._timer is not None:
+            if self._tick_due_ms <= due_ms:
+                return
+            self._timer.cancel()
+        self._tick_due_ms = due_ms
+        self._timer = asyncio.get_running_loop().call_later(
+            (due_ms - now_ms) / 1000, self._tick
+        )
 
     def _finish(self):
         self._pool.close()
@@ -254,6 +274,7 @@
     def _settle(self, now_ms):
         systems.handle_events(self._tables, now_ms)
         self._run_effects()
+        self._schedule_tick(now_ms)
 
     def _run_effects(self):
         while self._tables.effects:
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -14,6 +14,8 @@
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 
+TICK_MAX_MS = 50
+TIMER_GRAIN_MS = 10
 PULL_INTERVAL_MS = 500
 PULL_SPREAD_MS = 200
 PULL_PEER_EVERY = 3
@@ -33,6 +35,22 @@
     handle_events(tables, now_ms)
 
 
+def next_due_ms(tables, now_ms):
+    """Say when the next tick is needed.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: a time, :data:`TICK_MAX_MS` from now at the latest.
+    """
+    due_ms = min(now_ms + TICK_MAX_MS, limits.next_due_ms(tables, now_ms))
+    if tables.timers.heap:
+        # Most timers are of calls that have ended, so they wait for each
+        # other.
+        timer_ms = max(tables.timers.heap[0][0], now_ms + TIMER_GRAIN_MS)
+        due_ms = min(due_ms, timer_ms)
+    return due_ms
+
+
 def receive(message, tables, sender, now_ms):
     """Take in a message and the events that follow from it.
 
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -87,6 +87,8 @@
         self._transfers[curl] = transfer
         transfer.future.curl = curl
         self._multi.add_handle(curl)
+        # Sends at once instead of in the loop's next round.
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
         return transfer.future
 
     def cancel(self, future):
@@ -140,10 +142,14 @@
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
-        if timeout_ms >= 0:
+        if timeout_ms > 0:
             self._timer = self._loop.call_later(
                 timeout_ms / 1000, self._act, pycurl.SOCKET_TIMEOUT, 0
             )
+        elif timeout_ms == 0:
+            self._timer = self._loop.call_soon(
+                self._act, pycurl.SOCKET_TIMEOUT, 0
+            )
 
     def _act(self, descriptor, events):
         self._multi.socket_action(descriptor, events)
--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -1,6 +1,7 @@
 """What every long-lived process does: signals, dumps, its loop."""
 
 import asyncio
+import gc
 import os
 import signal
 import time
@@ -9,6 +10,8 @@
 
 LOG = logs.PartLogger("process")
 
+GC_THRESHOLD = 20_000
+
 
 def run(start):
     """Run a process until it has stopped.
@@ -21,6 +24,11 @@
 
 async def _run(start):
     process = await start()
+    # What start-up made lives as long as the process; collecting it again
+    # and again would only delay calls.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(GC_THRESHOLD)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, process.stop)
     loop.add_signal_handler(signal.SIGINT, process.stop)
--- /dev/null
+++ b/tests/configuration/test_replica.py
@@ -0,0 +1,95 @@
+"""A node's copy of the configuration: never back, never fresher than true."""
+
+import copy
+
+import hypothesis
+from hypothesis import strategies
+
+from fescueyard.configuration import models
+from fescueyard.configuration import replica
+from fescueyard.configuration import state as states
+
+
+def _change(state, number, version):
+    change = states.Change(
+        f"c{number}",
+        "test",
+        "firm",
+        f"firm-{number % 3}",
+        state.object_version(models.Kind.FIRM, f"firm-{number % 3}"),
+        b'{"share":%d}' % (number + 1),
+    )
+    result = states.apply_change(state, change, version)
+    assert result.code == 3000
+
+
+@hypothesis.given(strategies.data())
+@hypothesis.settings(max_examples=200)
+def test_copy_never_reverts_whatever_answers_come_when(data):
+    source = states.ConfigurationState("c-1")
+    table = replica.ReplicaTable()
+    now_ms = 0.0
+    version_at_ms = [(float("-inf"), 0)]
+    under_way = []
+    for number in range(data.draw(strategies.integers(1, 25))):
+        now_ms += data.draw(strategies.integers(1, 50))
+        step = data.draw(strategies.sampled_from(["change", "ask", "answer"]))
+        before = table.state.version
+        if step == "change":
+            _change(source, number, source.version + 2)
+            version_at_ms.append((now_ms, source.version))
+        elif step == "ask":
+            question = replica.ask(table, now_ms)
+            age_ms = float(data.draw(strategies.integers(0, 30)))
+            told = replica.answer(source, question, age_ms, [])
+            if told is not None:
+                # The source was surely current that long ago.
+                under_way.append(copy.deepcopy(told))
+        elif under_way:
+            place = data.draw(strategies.integers(0, len(under_way) - 1))
+            replica.install(table, under_way.pop(place))
+        assert table.state.version >= before
+        if table.fresh_as_of_ms is not None:
+            accepted = [
+                version
+                for at_ms, version in version_at_ms
+                if at_ms <= table.fresh_as_of_ms
+            ]
+            assert table.state.version >= accepted[-1]
+            expected = {
+                name: row.version
+                for name, row in source.rows[models.Kind.FIRM].items()
+                if row.version <= table.state.version
+            }
+            seen = table.state.rows[models.Kind.FIRM]
+            for name, version in expected.items():
+                assert seen[name].version == version
+
+
+def test_answer_of_another_cluster_is_refused():
+    table = replica.ReplicaTable()
+    question = replica.ask(table, 0.0)
+    own = states.ConfigurationState("c-1")
+    replica.install(table, replica.answer(own, question, 0.0, []))
+    question = replica.ask(table, 1.0)
+    other = states.ConfigurationState("c-2")
+    other.version = 99
+    question.cluster_id = "c-2"
+    told = replica.answer(other, question, 0.0, [])
+    assert not replica.install(table, told)
+    assert table.state.cluster_id == "c-1"
+
+
+def test_asker_behind_the_journal_gets_the_whole_configuration():
+    source = states.ConfigurationState("c-1")
+    table = replica.ReplicaTable()
+    question = replica.ask(table, 0.0)
+    replica.install(table, replica.answer(source, question, 0.0, []))
+    for number in range(states.JOURNAL_ROWS_MAX + 50):
+        _change(source, number, source.version + 1)
+    question = replica.ask(table, 1.0)
+    told = replica.answer(source, question, 0.0, [])
+    assert told.whole
+    assert replica.install(table, told)
+    assert table.state.version == source.version
+    assert len(table.state.rows[models.Kind.FIRM]) == 3
--- /dev/null
+++ b/tests/control/harness.py
@@ -0,0 +1,346 @@
+"""Control members over a fake network and fake disks, in simulated time."""
+
+import copy
+import dataclasses
+import heapq
+import itertools
+import random
+
+from fescueyard.configuration import state as states
+from fescueyard.control import consensus
+from fescueyard.control import models
+from fescueyard.control import storage
+from fescueyard.control import systems
+from fescueyard.control import tables as control_tables
+from fescueyard.core import effects
+from fescueyard.core import wire
+
+TICK_MS = 20
+
+
+class FakeStream:
+    """Stands for a stream: where replies go."""
+
+    def __init__(self, member_id):
+        self.member_id = member_id
+
+
+class FakeDisk:
+    """Keeps what was saved; a crash loses nothing of it."""
+
+    def __init__(self, member_id, snapshot):
+        self.loaded = storage.Loaded(
+            member_id, models.Vote(0, ""), snapshot, []
+        )
+
+    def save(self, unsaved):
+        """Save as the real storage does."""
+        loaded = self.loaded
+        if unsaved.vote is not None:
+            loaded.vote = unsaved.vote
+        if unsaved.truncate_after is not None:
+            loaded.entries = [
+                row
+                for row in loaded.entries
+                if row.index <= unsaved.truncate_after
+            ]
+        if unsaved.snapshot is not None:
+            loaded.snapshot = unsaved.snapshot
+            loaded.entries = [
+                row
+                for row in loaded.entries
+                if row.index > unsaved.snapshot.index
+            ]
+        loaded.entries = loaded.entries + list(unsaved.entries)
+
+
+@dataclasses.dataclass
+class Operation:
+    """One operation of an operator, for the history."""
+
+    kind: str
+    name: str
+    called_at_ms: float
+    value: int = 0
+    expected_version: int = 0
+    returned_at_ms: float | None = None
+    code: int = 0
+    version: int = 0
+    seen_value: int = 0
+    change_id: str = ""
+
+
+class Cluster:
+    """Members, their network and their history.
+
+    :param count: number of voters.
+    :param seed: seed of every choice.
+    """
+
+    def __init__(self, count, seed):
+        self.random = random.Random(seed)
+        self.now_ms = 0.0
+        self.disks = {}
+        self.tables = {}
+        self.frozen = set()
+        self.cuts = set()
+        self.leaders_by_term = {}
+        self.committed = {}
+        self.history = []
+        self._open = {}
+        self._sequence = itertools.count()
+        self._in_flight = []
+        self._exchange_ids = itertools.count(1)
+        ids = [f"m{number}" for number in range(count)]
+        members = [_member(member_id, voter=True) for member_id in ids]
+        state = states.dump_state(states.ConfigurationState("c-test"))
+        for member_id in ids:
+            snapshot = models.Snapshot(1, 1, members, state)
+            self.disks[member_id] = FakeDisk(member_id, snapshot)
+            self.start(member_id)
+
+    def start(self, member_id):
+        """Start a member from its disk."""
+        loaded = copy.copy(self.disks[member_id].loaded)
+        loaded.entries = list(loaded.entries)
+        others = [f"{other}:1" for other in self.disks if other != member_id]
+        self.tables[member_id] = control_tables.new_tables(
+            loaded,
+            _member(member_id, voter=False),
+            "region",
+            others,
+            self.random.getrandbits(32),
+            self.now_ms,
+        )
+
+    def crash(self, member_id):
+        """Lose a member's memory."""
+        self.tables.pop(member_id, None)
+        self.frozen.discard(member_id)
+
+    def lose_disk(self, member_id, new_id):
+        """Lose a member's disk; a new identity asks to join in its place."""
+        self.crash(member_id)
+        del self.disks[member_id]
+        empty = models.Snapshot(0, 0, [], b"")
+        self.disks[new_id] = FakeDisk(new_id, empty)
+        self.start(new_id)
+
+    def run(self, duration_ms):
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += TICK_MS
+            while self._in_flight and self._in_flight[0][0] <= self.now_ms:
+                _, _, source, target, message = heapq.heappop(self._in_flight)
+                self._deliver(source, target, message)
+            for member_id in list(self.tables):
+                if member_id not in self.frozen:
+                    systems.tick(self.tables[member_id], self.now_ms)
+                    self._settle(member_id)
+
+    def receive(self, target, source, message):
+        """Have a member take in a message at once."""
+        self._deliver(source, target, message)
+
+    def clear_network(self):
+        """Lose every message under way."""
+        self._in_flight.clear()
+
+    def leader(self):
+        """Find the member with the lease, or None."""
+        for member_id, tables in self.tables.items():
+            if member_id not in self.frozen and consensus.holds_lease(
+                tables.consensus, self.now_ms
+            ):
+                return member_id
+        return None
+
+    def change(self, member_id, name, value, expected_version, change_id):
+        """Have an operator send a change of a firm's share to a member."""
+        operation = Operation(
+            "change",
+            name,
+            self.now_ms,
+            value,
+            expected_version,
+            change_id=change_id,
+        )
+        self.history.append(operation)
+        change = states.Change(
+            change_id,
+            "test",
+            "firm",
+            name,
+            expected_version,
+            b'{"share":%d}' % value,
+        )
+        origin = control_tables.LocalOrigin(self._expect(operation))
+        systems.submit_change(
+            self.tables[member_id], change, origin, self.now_ms
+        )
+        self._settle(member_id)
+        return operation
+
+    def read(self, member_id, name):
+        """Have an operator read a firm at a member."""
+        operation = Operation("read", name, self.now_ms)
+        self.history.append(operation)
+        exchange_id = self._expect(operation)
+        systems.submit_read(self.tables[member_id], exchange_id, self.now_ms)
+        self._settle(member_id)
+        return operation
+
+    def change_members(self, member_id, add):
+        """Have an operator add or remove a member at the leader."""
+        operation = Operation("members", member_id, self.now_ms)
+        leader_id = self.leader()
+        if leader_id is None:
+            return operation
+        origin = control_tables.LocalOrigin(self._expect(operation))
+        systems.submit_members_change(
+            self.tables[leader_id], member_id, add, origin, self.now_ms
+        )
+        self._settle(leader_id)
+        return operation
+
+    def _expect(self, operation):
+        exchange_id = next(self._exchange_ids)
+        self._open[exchange_id] = operation
+        return exchange_id
+
+    def _deliver(self, source, target, message):
+        tables = self.tables.get(target)
+        if tables is None:
+            return
+        if target in self.frozen:
+            # A frozen process finds the message when it wakes.
+            self._push(source, target, message, 200)
+            return
+        payload = wire.decode(wire.encode(message))
+        systems.receive(
+            payload, tables, source, FakeStream(source), self.now_ms
+        )
+        self._settle(target)
+
+    def _settle(self, member_id):
+        tables = self.tables[member_id]
+        agreement = tables.consensus
+        while True:
+            unsaved = consensus.take_unsaved(agreement)
+            if unsaved is not None:
+                self.disks[member_id].save(unsaved)
+            consensus.saved(agreement, self.now_ms)
+            systems.settle(tables, self.now_ms)
+            if systems.wants_snapshot(tables):
+                systems.take_snapshot(tables)
+            if consensus.take_unsaved(agreement) is None:
+                break
+        self._check(member_id)
+        outbox, agreement.outbox = agreement.outbox, []
+        for outgoing in outbox:
+            self._push(member_id, outgoing.member_id, outgoing.message)
+        pending, tables.effects = tables.effects, []
+        for effect in pending:
+            if isinstance(effect, effects.SendMessage):
+                target = effect.address.partition(":")[0]
+                self._push(member_id, target, effect.message)
+            elif isinstance(effect, effects.SendReply):
+                target = effect.stream.member_id
+                self._push(member_id, target, effect.message)
+        self._collect(tables)
+
+    def _push(self, source, target, message, extra_ms=0):
+        if (source, target) in self.cuts:
+            return
+        if self.random.random() < 0.02:
+            return
+        delay_ms = extra_ms + self.random.choice((1, 2, 5, 30))
+        heapq.heappush(
+            self._in_flight,
+            (
+                self.now_ms + delay_ms,
+                next(self._sequence),
+                source,
+                target,
+                message,
+            ),
+        )
+
+    def _collect(self, tables):
+        outcomes, tables.outcomes = tables.outcomes, []
+        for outcome in outcomes:
+            operation = self._open.pop(outcome.exchange_id, None)
+            if operation is None:
+                continue
+            operation.returned_at_ms = self.now_ms
+            if isinstance(outcome, control_tables.Settled):
+                operation.code = outcome.result.code
+                operation.version = outcome.result.version
+            elif outcome.fresh:
+                operation.code = 1000
+                row = tables.state.rows[states.models.Kind.FIRM].get(
+                    operation.name
+                )
+                if row is not None:
+                    operation.version = row.version
+                    found = tables.state.find(
+                        states.models.Kind.FIRM, operation.name
+                    )
+                    operation.seen_value = found.share
+
+    def _check(self, member_id):
+        """Check what must hold after each step."""
+        agreement = self.tables[member_id].consensus
+        if agreement.role is models.Role.LEADER:
+            term = agreement.vote.term
+            known = self.leaders_by_term.setdefault(term, member_id)
+            assert known == member_id, f"two leaders in term {term}"
+        first = agreement.snapshot.index + 1
+        for index in range(first, agreement.commit_index + 1):
+            entry = consensus.entry_at(agreement, index)
+            told = (entry.term, entry.kind, entry.payload)
+            known = self.committed.setdefault(index, told)
+            assert known == told, f"entry {index} was committed twice"
+        holders = [
+            other
+            for other, tables in self.tables.items()
+            if consensus.holds_lease(tables.consensus, self.now_ms)
+        ]
+        assert len(holders) <= 1, f"two leases: {holders}"
+
+
+def _member(member_id, voter):
+    return models.Member(
+        member_id, f"{member_id}:1", f"{member_id}:2", "zone", voter
+    )
+
+
+def check_history(history):
+    """Check that a history of versioned changes and reads is linearizable.
+
+    Each accepted change takes its object from the version it expected to a
+    new one, so the changes of an object form a chain, and a read that began
+    after a change was accepted must not show an older version.
+
+    :param history: list of :class:`Operation`.
+    """
+    for name in {row.name for row in history}:
+        rows = [row for row in history if row.name == name]
+        accepted = [row for row in rows if row.code == 3000]
+        by_expected = {}
+        for row in accepted:
+            known = by_expected.setdefault(row.expected_version, row)
+            assert known.change_id == row.change_id, "two changes won"
+            assert known.version == row.version, "a resend got another answer"
+        values = {row.version: row.value for row in accepted}
+        done = accepted + [row for row in rows if row.code == 1000]
+        for later in done:
+            for earlier in done:
+                if earlier.returned_at_ms < later.called_at_ms:
+                    assert later.version >= earlier.version, (
+                        "a change was not seen, or reverted"
+                    )
+        for row in rows:
+            if row.code == 1000 and row.version in values:
+                assert row.seen_value == values[row.version]
--- /dev/null
+++ b/tests/control/test_consensus.py
@@ -0,0 +1,313 @@
+"""The replicated log over random schedules, in simulated time."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from fescueyard.control import consensus
+from fescueyard.control import messages
+from fescueyard.control import models
+from fescueyard.control import systems
+from fescueyard.core import codes
+from tests.control import harness
+
+MEMBERS = strategies.integers(0, 4)
+NAMES = strategies.sampled_from(["one", "two"])
+
+
+class ControlMachine(stateful.RuleBasedStateMachine):
+    """Crashes, cuts, freezes, races and resends against five members."""
+
+    @stateful.initialize(seed=strategies.integers(0, 2**20))
+    def begin(self, seed):
+        self.cluster = harness.Cluster(5, seed)
+        self.cluster.run(3_000)
+        self.versions = {}
+        self.sent = []
+        self.number = 0
+
+    @stateful.rule(duration_ms=strategies.integers(20, 3_000))
+    def wait(self, duration_ms):
+        self.cluster.run(duration_ms)
+
+    @stateful.rule(member=MEMBERS, name=NAMES)
+    def change(self, member, name):
+        member_id = f"m{member}"
+        if not self._up(member_id):
+            return
+        self.number += 1
+        version = self._latest(name)
+        operation = self.cluster.change(
+            member_id, name, self.number, version, f"change-{self.number}"
+        )
+        self.sent.append(operation)
+
+    @stateful.rule(name=NAMES)
+    def race(self, name):
+        version = self._latest(name)
+        for member in range(5):
+            if self._up(f"m{member}"):
+                self.number += 1
+                self.cluster.change(
+                    f"m{member}",
+                    name,
+                    self.number,
+                    version,
+                    f"change-{self.number}",
+                )
+
+    @stateful.rule(member=MEMBERS)
+    def resend(self, member):
+        if not self.sent or not self._up(f"m{member}"):
+            return
+        first = self.cluster.random.choice(self.sent[-5:])
+        self.cluster.change(
+            f"m{member}",
+            first.name,
+            first.value,
+            first.expected_version,
+            first.change_id,
+        )
+
+    @stateful.rule(member=MEMBERS, name=NAMES)
+    def read(self, member, name):
+        if self._up(f"m{member}"):
+            self.cluster.read(f"m{member}", name)
+
+    @stateful.rule(member=MEMBERS)
+    def crash(self, member):
+        self.cluster.crash(f"m{member}")
+
+    @stateful.rule(member=MEMBERS)
+    def restart(self, member):
+        member_id = f"m{member}"
+        if member_id not in self.cluster.tables:
+            self.cluster.start(member_id)
+
+    @stateful.rule(member=MEMBERS)
+    def freeze(self, member):
+        if f"m{member}" in self.cluster.tables:
+            self.cluster.frozen.add(f"m{member}")
+
+    @stateful.rule(member=MEMBERS)
+    def thaw(self, member):
+        self.cluster.frozen.discard(f"m{member}")
+
+    @stateful.rule(member=MEMBERS, other=MEMBERS, both=strategies.booleans())
+    def cut(self, member, other, both):
+        self.cluster.cuts.add((f"m{member}", f"m{other}"))
+        if both:
+            self.cluster.cuts.add((f"m{other}", f"m{member}"))
+
+    @stateful.rule()
+    def heal(self):
+        self.cluster.cuts.clear()
+
+    @stateful.rule()
+    def hand_over(self):
+        leader_id = self.cluster.leader()
+        if leader_id is not None:
+            agreement = self.cluster.tables[leader_id].consensus
+            consensus.hand_over(agreement, self.cluster.now_ms)
+
+    def teardown(self):
+        if not hasattr(self, "cluster"):
+            return
+        cluster = self.cluster
+        cluster.cuts.clear()
+        cluster.frozen.clear()
+        for member in range(5):
+            if f"m{member}" not in cluster.tables:
+                cluster.start(f"m{member}")
+        cluster.run(6_000)
+        assert cluster.leader() is not None, "no leader after all healed"
+        harness.check_history(cluster.history)
+        versions = {row.state.version for row in cluster.tables.values()}
+        assert len(versions) == 1, "members differ after all healed"
+
+    def _up(self, member_id):
+        up = member_id in self.cluster.tables
+        return up and member_id not in self.cluster.frozen
+
+    def _latest(self, name):
+        found = [
+            row.version
+            for row in self.cluster.history
+            if row.name == name and row.code == codes.CHANGED.number
+        ]
+        return max(found, default=0)
+
+
+ControlMachine.TestCase.settings = hypothesis.settings(
+    max_examples=40, stateful_step_count=30
+)
+TestControl = ControlMachine.TestCase
+
+
+def test_no_majority_means_no_leader_and_unknown_outcome():
+    cluster = harness.Cluster(3, 1)
+    cluster.run(3_000)
+    leader_id = cluster.leader()
+    for other in ("m0", "m1", "m2"):
+        cluster.cuts.add((leader_id, other))
+    operation = cluster.change(leader_id, "one", 1, 0, "c1")
+    cluster.run(consensus.ELECTION_TIMEOUT_MIN_MS + 200)
+    assert operation.code == codes.CHANGE_UNKNOWN.number
+    stale = cluster.tables[leader_id].consensus
+    assert not consensus.is_leader(stale)
+
+
+def test_resend_gets_first_answer_after_change_of_leader():
+    cluster = harness.Cluster(3, 2)
+    cluster.run(3_000)
+    old_leader = cluster.leader()
+    first = cluster.change(old_leader, "one", 1, 0, "c1")
+    cluster.run(500)
+    assert first.code == codes.CHANGED.number
+    cluster.crash(old_leader)
+    cluster.run(4_000)
+    again = cluster.change(cluster.leader(), "one", 1, 0, "c1")
+    other = cluster.change(cluster.leader(), "one", 2, 0, "c2")
+    cluster.run(500)
+    assert (again.code, again.version) == (first.code, first.version)
+    assert other.code == codes.VERSION_CONFLICT.number
+
+
+def test_lost_disk_returns_under_new_identity_before_second_loss():
+    cluster = harness.Cluster(3, 3)
+    cluster.run(3_000)
+    for number in range(1, 400):
+        version = 0 if number == 1 else cluster.history[-1].version
+        cluster.change(cluster.leader(), "one", number, version, f"c{number}")
+        cluster.run(100)
+    lost = next(row for row in cluster.disks if row != cluster.leader())
+    cluster.lose_disk(lost, "m9")
+    cluster.run(1_000)
+    _change_members(cluster, lost, add=False)
+    _change_members(cluster, "m9", add=True)
+    cluster.run(2_000)
+    agreement = cluster.tables[cluster.leader()].consensus
+    assert consensus.find_member(agreement, "m9").voter
+    second = next(
+        row for row in cluster.disks if row not in ("m9", cluster.leader())
+    )
+    cluster.crash(second)
+    cluster.run(4_000)
+    read = cluster.read("m9", "one")
+    cluster.run(1_000)
+    assert (read.code, read.seen_value) == (1000, 399)
+
+
+def test_empty_disk_does_not_vote():
+    cluster = harness.Cluster(3, 4)
+    cluster.run(3_000)
+    followers = [row for row in cluster.disks if row != cluster.leader()]
+    cluster.lose_disk(followers[0], "m8")
+    cluster.lose_disk(followers[1], "m9")
+    cluster.run(5_000)
+    assert cluster.leader() is None
+
+
+def _change_members(cluster, member_id, add):
+    for _ in range(10):
+        operation = cluster.change_members(member_id, add)
+        cluster.run(500)
+        if operation.code == codes.CHANGED.number:
+            return
+    raise AssertionError(f"members change failed: {operation}")
+
+
+def test_vote_is_kept_over_a_restart():
+    cluster = harness.Cluster(3, 5)
+    ask = messages.VoteAsk(7, 1, 1, pre_vote=False, transfer=True)
+    cluster.receive("m0", "m1", ask)
+    assert cluster.tables["m0"].consensus.vote == models.Vote(7, "m1")
+    cluster.crash("m0")
+    cluster.start("m0")
+    cluster.receive("m0", "m2", ask)
+    assert cluster.tables["m0"].consensus.vote == models.Vote(7, "m1")
+
+
+def test_cut_follower_does_not_unseat_a_leader_with_its_lease():
+    cluster = harness.Cluster(3, 6)
+    cluster.run(3_000)
+    leader_id = cluster.leader()
+    term = cluster.tables[leader_id].consensus.vote.term
+    other = next(row for row in cluster.disks if row != leader_id)
+    cluster.cuts.update({(leader_id, other), (other, leader_id)})
+    cluster.run(6_000)
+    assert cluster.leader() == leader_id
+    assert cluster.tables[leader_id].consensus.vote.term == term
+
+
+def test_late_freshness_answer_proves_nothing_about_now():
+    cluster = harness.Cluster(3, 7)
+    cluster.run(3_000)
+    leader_id = cluster.leader()
+    follower_id = next(row for row in cluster.disks if row != leader_id)
+    tables = cluster.tables[follower_id]
+    systems.tick(tables, cluster.now_ms + 300)
+    question_id = tables.freshness.last_question_id
+    cluster.frozen.add(follower_id)
+    change = cluster.change(leader_id, "one", 1, 0, "c1")
+    cluster.run(3_000)
+    assert change.code == codes.CHANGED.number
+    cluster.frozen.discard(follower_id)
+    for other in cluster.disks:
+        cluster.cuts.add((other, follower_id))
+    cluster.clear_network()
+    late = messages.FreshnessAnswer(question_id, 1, 10.0)
+    cluster.receive(follower_id, leader_id, late)
+    read = cluster.read(follower_id, "one")
+    cluster.run(2_000)
+    assert read.code == 0, f"a stale read was answered: {read}"
+
+
+def test_resend_gets_first_answer_after_compaction_and_restart():
+    cluster = harness.Cluster(1, 8)
+    cluster.run(3_000)
+    first = cluster.change("m0", "one", 1, 0, "c1")
+    cluster.run(100)
+    systems.take_snapshot(cluster.tables["m0"])
+    cluster.run(100)
+    cluster.crash("m0")
+    cluster.start("m0")
+    cluster.run(3_000)
+    again = cluster.change("m0", "one", 1, 0, "c1")
+    cluster.run(100)
+    assert first.code == codes.CHANGED.number
+    assert (again.code, again.version) == (first.code, first.version)
+
+
+def test_entry_of_an_earlier_term_is_not_committed_by_counting():
+    cluster = harness.Cluster(5, 9)
+    table = cluster.tables["m0"].consensus
+    old = models.LogEntry(2, 2, models.EMPTY_ENTRY, b"")
+    table.entries.append(old)
+    table.vote = models.Vote(3, "")
+    ask = messages.LeadershipOffer(3)
+    table.leader_id = "m1"
+    cluster.receive("m0", "m1", ask)
+    for voter in ("m1", "m2"):
+        answer = messages.VoteAnswer(4, pre_vote=False, granted=True)
+        cluster.receive("m0", voter, answer)
+    assert table.role is models.Role.LEADER
+    for voter in ("m1", "m2"):
+        answer = messages.AppendAnswer(4, 1, True, old.index)
+        cluster.receive("m0", voter, answer)
+    # Three of five hold the old entry, yet a later leader may replace it.
+    assert table.commit_index < old.index
+
+
+def test_members_change_waits_for_the_one_under_way():
+    cluster = harness.Cluster(3, 10)
+    cluster.run(3_000)
+    leader_id = cluster.leader()
+    for other in cluster.disks:
+        cluster.cuts.add((leader_id, other))
+    followers = [row for row in cluster.disks if row != leader_id]
+    first = cluster.change_members(followers[0], add=False)
+    second = cluster.change_members(followers[1], add=False)
+    cluster.run(100)
+    assert first.code != codes.CHANGED.number
+    assert second.code == codes.MEMBERS_BUSY.number
--- /dev/null
+++ b/tests/control/test_storage.py
@@ -0,0 +1,143 @@
+"""The data folder under torn writes, bit flips, restarts and compaction."""
+
+import pytest
+
+from fescueyard.control import consensus
+from fescueyard.control import models
+from fescueyard.control import storage as storages
+from fescueyard.core import codes
+from fescueyard.core import exceptions
+
+
+def _entries(first, last):
+    return [
+        models.LogEntry(index, 1, models.CHANGE_ENTRY, b"x" * index)
+        for index in range(first, last + 1)
+    ]
+
+
+def _create(folder):
+    storage = storages.Storage(folder)
+    storage.create(lambda member_id: models.Snapshot(0, 0, [], b""))
+    storage.load()
+    return storage
+
+
+def _save(storage, **fields):
+    unsaved = consensus.Unsaved(None, None, None, [])
+    for name, value in fields.items():
+        setattr(unsaved, name, value)
+    storage.save(unsaved)
+
+
+def _reload(folder):
+    storage = storages.Storage(folder)
+    loaded = storage.load()
+    storage.close()
+    return loaded
+
+
+def test_what_was_saved_is_loaded(tmp_path):
+    storage = _create(tmp_path)
+    for index in range(1, 301):
+        _save(storage, entries=_entries(index, index))
+    _save(storage, vote=models.Vote(9, "m-other"))
+    storage.close()
+    loaded = _reload(tmp_path)
+    assert loaded.entries == _entries(1, 300)
+    assert loaded.vote == models.Vote(9, "m-other")
+
+
+def test_log_torn_at_any_byte_keeps_every_earlier_entry(tmp_path):
+    storage = _create(tmp_path)
+    _save(storage, entries=_entries(1, 5))
+    log = tmp_path / "log"
+    size_before = log.stat().st_size
+    _save(storage, entries=_entries(6, 6))
+    storage.close()
+    whole = log.read_bytes()
+    for end in range(size_before, len(whole)):
+        log.write_bytes(whole[:end])
+        assert _reload(tmp_path).entries == _entries(1, 5)
+        assert log.stat().st_size == size_before
+
+
+@pytest.mark.parametrize("name", ["vote", "snapshot", "member"])
+def test_flipped_bit_in_a_small_file_is_refused(tmp_path, name):
+    _create(tmp_path).close()
+    path = tmp_path / name
+    data = bytearray(path.read_bytes())
+    for position in range(len(data)):
+        data[position] ^= 1
+        path.write_bytes(data)
+        with pytest.raises(exceptions.StorageError) as caught:
+            _reload(tmp_path)
+        assert caught.value.code is codes.CORRUPT_STORAGE
+        data[position] ^= 1
+
+
+def test_flipped_bit_before_the_last_entry_is_refused(tmp_path):
+    storage = _create(tmp_path)
+    _save(storage, entries=_entries(1, 4))
+    end_of_third = storage._ends[2]
+    storage.close()
+    log = tmp_path / "log"
+    data = bytearray(log.read_bytes())
+    for position in range(end_of_third):
+        data[position] ^= 1
+        log.write_bytes(data)
+        with pytest.raises(exceptions.StorageError):
+            _reload(tmp_path)
+        data[position] ^= 1
+
+
+def test_conflicting_entries_are_replaced(tmp_path):
+    storage = _create(tmp_path)
+    _save(storage, entries=_entries(1, 6))
+    newer = models.LogEntry(4, 2, models.EMPTY_ENTRY, b"")
+    _save(storage, truncate_after=3, entries=[newer])
+    storage.close()
+    assert _reload(tmp_path).entries == [*_entries(1, 3), newer]
+
+
+def test_snapshot_drops_the_log_before_it_and_no_more(tmp_path):
+    storage = _create(tmp_path)
+    _save(storage, entries=_entries(1, 6))
+    snapshot = models.Snapshot(4, 1, [], b"state")
+    _save(storage, snapshot=snapshot)
+    _save(storage, entries=_entries(7, 8))
+    storage.close()
+    loaded = _reload(tmp_path)
+    assert loaded.snapshot == snapshot
+    assert loaded.entries == _entries(5, 8)
+
+
+def test_crash_between_snapshot_and_shorter_log_loses_nothing(tmp_path):
+    storage = _create(tmp_path)
+    _save(storage, entries=_entries(1, 6))
+    storage._drop_prefix = lambda index: None
+    _save(storage, snapshot=models.Snapshot(4, 1, [], b"state"))
+    storage.close()
+    assert _reload(tmp_path).entries == _entries(5, 6)
+
+
+@pytest.mark.parametrize("name", ["vote", "snapshot", "log"])
+def test_missing_file_is_refused(tmp_path, name):
+    _create(tmp_path).close()
+    (tmp_path / name).unlink()
+    with pytest.raises(exceptions.StorageError):
+        _reload(tmp_path)
+
+
+def test_empty_folder_starts_no_cluster(tmp_path):
+    with pytest.raises(exceptions.StorageError) as caught:
+        _reload(tmp_path)
+    assert caught.value.code is codes.NOT_INITIALISED
+
+
+def test_folder_is_held_by_one_process(tmp_path):
+    held = _create(tmp_path)
+    with pytest.raises(exceptions.StorageError):
+        storages.Storage(tmp_path)
+    held.close()
+    storages.Storage(tmp_path).close()
--- /dev/null
+++ b/tests/faults/test_configuration.py
@@ -0,0 +1,178 @@
+"""Configuration over three control processes: kills, freezes, lost disks."""
+
+import shutil
+import signal
+import threading
+import time
+
+import pytest
+
+from demo import fleet as fleets
+from fescueyard.core import codes
+from fescueyard.management import client
+
+IN_FORCE_S = 3.0
+
+
+def _wait(condition, timeout_s, what):
+    end_s = time.monotonic() + timeout_s
+    while time.monotonic() < end_s:
+        try:
+            if condition():
+                return
+        except client.Unreachable:
+            pass
+        time.sleep(0.05)
+    raise AssertionError(f"not within {timeout_s} s: {what}")
+
+
+def _status(fleet, control):
+    api = client.AdminClient(fleet.settings([control]))
+    return api.read("/v1/status")
+
+
+def _leader(fleet, controls):
+    for control in controls:
+        try:
+            if _status(fleet, control)["role"] == "leader":
+                return control
+        except client.Unreachable:
+            continue
+    return None
+
+
+def _await_leader(fleet, controls):
+    found = []
+
+    def look():
+        found.append(_leader(fleet, controls))
+        return found[-1] is not None
+
+    _wait(look, 8, "a leader")
+    return found[-1]
+
+
+def _add_member(fleet, count):
+    def applied():
+        applicants = fleet.api().read("/v1/members")["applicants"]
+        if applicants:
+            member_id = applicants[0]["member_id"]
+            fleet.api().change("PUT", f"/v1/members/{member_id}", b"", 0)
+        members = fleet.api().read("/v1/members")["members"]
+        return sum(row["voter"] for row in members) == count
+
+    _wait(applied, 10, f"{count} voters")
+
+
+@pytest.fixture(scope="module")
+def three(tmp_path_factory):
+    """Give a fleet with three control members and a node in each zone.
+
+    Each test leaves all three control processes running.
+    """
+    fleet = fleets.Fleet(tmp_path_factory.mktemp("fleet"))
+    try:
+        fleet.add_control("zone-a")
+        fleet.add_control("zone-b", join=True)
+        _add_member(fleet, 2)
+        fleet.add_control("zone-c", join=True)
+        _add_member(fleet, 3)
+        for zone in ("zone-a", "zone-b", "zone-c"):
+            fleet.add_node(zone, "orders")
+        fleet.configure("orders")
+        fleet.await_ready("orders", fleet.keys["board"])
+        yield fleet
+    finally:
+        fleet.kill()
+
+
+def _in_force(fleet, service):
+    return all(
+        fleet.call(node, f"/{service}/open").status != 404
+        for node in fleet.nodes
+    )
+
+
+def test_changes_go_on_through_kills_of_the_leader(three):
+    version = three.put("firm", "one", {"share": 1})
+    for share in range(2, 4):
+        leader = _await_leader(three, three.controls)
+        leader.process.kill()
+        leader.process.wait()
+        version = three.put("firm", "one", {"share": share}, version)
+        three.start_control(leader)
+    found = three.api().read("/v1/objects/firm/one")
+    assert found["document"] == {"share": 3}
+    assert found["version"] == version
+
+
+def test_change_is_in_force_everywhere_while_the_leader_is_frozen(three):
+    leader = _await_leader(three, three.controls)
+    leader.process.send_signal(signal.SIGSTOP)
+    others = [row for row in three.controls if row is not leader]
+    _await_leader(three, others)
+    three.put("service", "late", {"profile": "standard"})
+    accepted_s = time.monotonic()
+    _wait(lambda: _in_force(three, "late"), IN_FORCE_S, "change in force")
+    print(f"in force after {time.monotonic() - accepted_s:.2f} s")
+    leader.process.send_signal(signal.SIGCONT)
+    time.sleep(1.0)
+    # The thawed leader must not bring the old configuration back.
+    assert _in_force(three, "late")
+    _wait(lambda: _status(three, leader)["role"] == "follower", 3, "step-down")
+
+
+def test_second_loss_right_after_a_lost_disk_was_replaced(three):
+    version = 0
+    for share in range(1, 120):
+        version = three.put("firm", "two", {"share": share}, version)
+    lost = three.controls[2]
+    lost_id = _status(three, lost)["member_id"]
+    lost.process.kill()
+    lost.process.wait()
+    shutil.rmtree(three.folder / lost.name)
+    three.api().change("DELETE", f"/v1/members/{lost_id}", b"", 0)
+    three.start_control(lost, join=True)
+    _add_member(three, 3)
+    assert _status(three, lost)["member_id"] != lost_id
+    second = three.controls[0]
+    second.process.kill()
+    second.process.wait()
+    rest = three.controls[1:]
+    _await_leader(three, rest)
+    api = client.AdminClient(three.settings(rest))
+    assert api.read("/v1/objects/firm/two")["document"] == {"share": 119}
+    three.start_control(second)
+
+
+def test_of_racing_operators_exactly_one_wins(three):
+    version = three.put("firm", "raced", {"share": 1})
+    codes_seen = []
+
+    def operate(number):
+        try:
+            three.put("firm", "raced", {"share": number + 2}, version)
+            codes_seen.append(codes.CHANGED)
+        except client.Refused as error:
+            codes_seen.append(error.code)
+
+    threads = [
+        threading.Thread(target=operate, args=(number,)) for number in range(8)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert codes_seen.count(codes.CHANGED) == 1
+    assert codes_seen.count(codes.VERSION_CONFLICT) == 7
+
+
+def test_planned_stop_hands_over_at_once(three):
+    leader = _await_leader(three, three.controls)
+    leader.process.terminate()
+    assert leader.process.wait(10) == 0
+    others = [row for row in three.controls if row is not leader]
+    started_s = time.monotonic()
+    _await_leader(three, others)
+    assert time.monotonic() - started_s < 0.8, "waited for an election"
+    three.start_control(leader)
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,642 @@
+"""Nodes, control members and backend servers in simulated time.
+
+The tables and systems are the real ones; only sockets, disks, clocks and
+backend servers are replaced by small fakes. The same seed gives the same run.
+"""
+
+import dataclasses
+import functools
+import heapq
+import itertools
+import random
+import urllib.parse
+
+from fescueyard.admission import systems as admission
+from fescueyard.configuration import state as states
+from fescueyard.control import consensus
+from fescueyard.control import models as control_models
+from fescueyard.control import systems as control_systems
+from fescueyard.control import tables as control_tables
+from fescueyard.core import codes
+from fescueyard.core import dispatch
+from fescueyard.core import effects
+from fescueyard.core import exceptions
+from fescueyard.core import http
+from fescueyard.core import wire
+from fescueyard.ingress import systems as ingress
+from fescueyard.node import systems as node_systems
+from fescueyard.node import tables as node_tables
+from fescueyard.routing import models as routing_models
+from tests.control import harness
+
+CONNECT_TIMEOUT_MS = 1_000
+CONTROL_TICK_MS = 20
+BACKEND_TTL_MS = 3_000
+
+
+@dataclasses.dataclass
+class Answered:
+    """A call and its answer."""
+
+    node: str
+    request: http.HttpRequest
+    started_at_ms: float
+    ended_at_ms: float | None = None
+    answer: http.HttpAnswer | None = None
+
+    @property
+    def code(self):
+        """Number of the result code, or None before the answer."""
+        if self.answer is None:
+            return None
+        return int(self.answer and _header(self.answer, "fescueyard-code"))
+
+
+@dataclasses.dataclass
+class Run:
+    """A request as it reached a backend server."""
+
+    node: str
+    request: http.HttpRequest
+    at_ms: float
+    ended_at_ms: float | None = None
+    cancelled: bool = False
+
+
+class Stream:
+    """One end of a fake stream; the handle that replies go to."""
+
+    def __init__(self, owner, other, address):
+        self.owner = owner
+        self.other = other
+        self.address = address
+        self.peer = None
+        self.open = True
+        self.last_at_ms = 0.0
+        self.stalled = []
+
+
+class Backend:
+    """A fake backend server with slots of its own.
+
+    :param service_ms: time a request takes, when its target names none.
+    """
+
+    def __init__(self, service, slots, service_ms=5.0):
+        self.service = service
+        self.slots = slots
+        self.service_ms = service_ms
+        self.slowdown = 1.0
+        self.up = True
+        self.running = 0
+        self.waiting = []
+
+
+class Node:
+    """A node process and its backend server."""
+
+    def __init__(self, name, tables, backend):
+        self.name = name
+        self.tables = tables
+        self.backend = backend
+        self.frozen = False
+        self.inbox = []
+        self.tick_due_ms = 0.0
+        self.runs = {}
+
+
+class World:
+    """Everything, on one clock.
+
+    :param seed: seed of every choice.
+    :param one_way_ms: latency between zones, one way.
+    """
+
+    def __init__(self, seed=1, one_way_ms=0.5, controls=1):
+        self.random = random.Random(seed)
+        self.now_ms = 0.0
+        self.one_way_ms = one_way_ms
+        self.nodes = {}
+        self.runs = []
+        self.calls = {}
+        self.cut_zones = set()
+        self.cut_pairs = set()
+        self.dead = set()
+        self.datagram_loss = 0.0
+        self.bytes_out = {}
+        self.cluster = harness.Cluster(controls, seed)
+        self.cluster.run(3_000)
+        self._zones = {f"m{index}": "zone-a" for index in range(controls)}
+        self._heap = []
+        self._sequence = itertools.count()
+        self._exchange_ids = itertools.count(1)
+        self._streams = {}
+        self._offset_ms = self.cluster.now_ms
+        self._version = 1
+        self._schedule(0, self._tick_control)
+
+    # Setting up.
+
+    def configure(self, kind, name, document):
+        """Have an object accepted by the control members at once."""
+        self._version += 1
+        leader = self.cluster.tables[self.cluster.leader() or "m0"]
+        change = states.Change(
+            f"setup-{self._version}",
+            "test",
+            kind,
+            name,
+            leader.state.object_version(states.models.Kind(kind), name),
+            document,
+        )
+        origin = control_tables.LocalOrigin(-self._version)
+        control_systems.submit_change(
+            leader, change, origin, self._control_now()
+        )
+        self.cluster._settle(leader.consensus.member_id)
+
+    def add_node(self, name, zone, service="", slots=20, service_ms=5.0):
+        """Add a node and its backend server."""
+        tables = node_tables.new_tables(
+            name,
+            zone,
+            "region",
+            f"{name}:1",
+            [f"m{index}:1" for index in range(len(self.cluster.disks))],
+            self.random.getrandbits(32),
+            random.Random(self.random.getrandbits(32)),
+            routing_models.NODE_ROLE,
+        )
+        backend = Backend(service, slots, service_ms) if service else None
+        node = Node(name, tables, backend)
+        self.nodes[name] = node
+        self._zones[name] = zone
+        self.dead.discard(name)
+        self._schedule(0, lambda: self._tick_node(node))
+        if backend is not None:
+            self._schedule(1, lambda: self._announce(node))
+        return node
+
+    # Faults.
+
+    def kill(self, name):
+        """Kill a node; its streams break, its memory is gone."""
+        node = self.nodes.pop(name)
+        self.dead.add(name)
+        node.backend = None
+        for stream in list(self._streams.values()):
+            if name in (stream.owner, stream.other) and stream.open:
+                self._break(stream)
+
+    def freeze(self, name):
+        """Stop a node as SIGSTOP does."""
+        self.nodes[name].frozen = True
+
+    def thaw(self, name):
+        """Let a frozen node go on with what came meanwhile."""
+        node = self.nodes[name]
+        node.frozen = False
+        inbox, node.inbox = node.inbox, []
+        for action in inbox:
+            action()
+        self._tick_node(node)
+
+    def cut_zone(self, zone):
+        """Cut a zone off from the others."""
+        self.cut_zones.add(zone)
+
+    def heal(self):
+        """End all cuts; what was stalled arrives late."""
+        self.cut_zones.clear()
+        self.cut_pairs.clear()
+        for stream in list(self._streams.values()):
+            stalled, stream.stalled = stream.stalled, []
+            for message in stalled:
+                self._transmit(stream, message)
+
+    # Running.
+
+    def run(self, duration_ms):
+        """Let time pass."""
+        end_ms = self.now_ms + duration_ms
+        while self._heap and self._heap[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self._heap)
+            action()
+        self.now_ms = end_ms
+
+    def call(self, name, target, key="", method="GET", body=b"", **headers):
+        """Have a caller send a request to a node."""
+        rows = [
+            http.Header(header.replace("_", "-"), value)
+            for header, value in headers.items()
+        ]
+        if key:
+            rows.append(http.Header("authorization", f"Bearer {key}"))
+        request = http.HttpRequest(method, target, rows, body)
+        told = Answered(name, request, self.now_ms)
+        node = self.nodes.get(name)
+        if node is not None:
+            self._submit(node, request, False, functools.partial(_note, told))
+        return told
+
+    def leave_call(self, told):
+        """Have the caller of a request go away."""
+        node = self.nodes[told.node]
+        for exchange_id, (_, done) in list(self.calls.items()):
+            if getattr(done, "args", (None,))[0] is told:
+                del self.calls[exchange_id]
+                ingress.caller_left(node.tables, exchange_id, self.now_ms)
+                self._settle(node)
+
+    def later(self, delay_ms, action):
+        """Have something done later."""
+        self._schedule(delay_ms, action)
+
+    # Nodes.
+
+    def _submit(self, node, request, from_backend, done):
+        exchange_id = next(self._exchange_ids)
+        self.calls[exchange_id] = (node, done)
+
+        def accept():
+            ingress.accept(
+                node.tables, exchange_id, request, from_backend, self.now_ms
+            )
+            self._settle(node)
+
+        self._at(node, accept)
+
+    def _at(self, node, action):
+        if self.nodes.get(node.name) is not node:
+            return
+        if node.frozen:
+            node.inbox.append(action)
+        else:
+            action()
+
+    def _tick_node(self, node):
+        if self.nodes.get(node.name) is not node or node.frozen:
+            return
+        node_systems.tick(node.tables, self.now_ms)
+        self._settle(node)
+        due_ms = node_systems.next_due_ms(node.tables, self.now_ms)
+        delay_ms = max(1.0, due_ms - self.now_ms)
+        node.tick_due_ms = self.now_ms + delay_ms
+        self._schedule(delay_ms, lambda: self._tick_if_due(node))
+
+    def _tick_if_due(self, node):
+        if self.now_ms >= node.tick_due_ms:
+            self._tick_node(node)
+
+    def _settle(self, node):
+        node_systems.handle_events(node.tables, self.now_ms)
+        while node.tables.effects:
+            pending, node.tables.effects = node.tables.effects, []
+            for effect in pending:
+                self._carry_out(node, effect)
+
+    def _carry_out(self, node, effect):
+        if isinstance(effect, effects.SendMessage):
+            self._send(node.name, effect.address, effect.message)
+        elif isinstance(effect, effects.SendReply):
+            if effect.stream is not None:
+                self._transmit(effect.stream, effect.message)
+        elif isinstance(effect, effects.SendDatagram):
+            self._send_datagram(node.name, effect.address, effect.message)
+        elif isinstance(effect, effects.AnswerCaller):
+            _, done = self.calls.pop(effect.exchange_id, (None, None))
+            if done is not None:
+                done(effect.answer, self.now_ms)
+        elif isinstance(effect, effects.StartRun):
+            self._start_run(node, effect)
+        elif isinstance(effect, effects.AbortRun):
+            run = node.runs.pop(effect.run_id, None)
+            if run is not None:
+                run.cancelled = True
+                self._free_slot(node)
+        elif isinstance(effect, effects.DropStream):
+            stream = self._streams.get((node.name, effect.address))
+            if stream is not None:
+                self._break(stream)
+
+    # Backend servers.
+
+    def _announce(self, node):
+        if self.nodes.get(node.name) is not node or node.backend is None:
+            return
+        backend = node.backend
+        if backend.up:
+            self._at(
+                node,
+                lambda: admission.announce(
+                    node.tables,
+                    backend.service,
+                    "127.0.0.1:1",
+                    backend.slots,
+                    BACKEND_TTL_MS,
+                    self.now_ms,
+                ),
+            )
+            self._settle(node)
+        self._schedule(BACKEND_TTL_MS / 3, lambda: self._announce(node))
+
+    def _start_run(self, node, effect):
+        backend = node.backend
+        if backend is None or not backend.up:
+            self._end_run(node, effect.run_id, None, codes.CONNECT_FAILED)
+            return
+        run = Run(node.name, effect.request, self.now_ms)
+        self.runs.append(run)
+        node.runs[effect.run_id] = run
+        backend.running += 1
+        if backend.running > backend.slots:
+            backend.waiting.append((effect.run_id, run))
+            return
+        self._work(node, effect.run_id, run)
+
+    def _work(self, node, run_id, run):
+        split = urllib.parse.urlsplit(run.request.target)
+        query = dict(urllib.parse.parse_qsl(split.query))
+        backend = node.backend
+        if split.path == "/crash":
+            self._crash(node)
+            return
+        delay_ms = float(query.get("ms", backend.service_ms))
+        delay_ms *= backend.slowdown
+        if split.path.startswith("/call/"):
+            target = split.path[len("/call") :]
+            if split.query:
+                target += "?" + split.query
+            self._schedule(
+                delay_ms, lambda: self._call_on(node, run_id, run, target)
+            )
+            return
+        status = int(query.get("status", "200"))
+        answer = http.HttpAnswer(status, [], query.get("body", "").encode())
+        self._schedule(
+            delay_ms, lambda: self._finish_run(node, run_id, run, answer)
+        )
+
+    def _call_on(self, node, run_id, run, target):
+        if run.cancelled or self.nodes.get(node.name) is not node:
+            return
+        headers = [
+            row
+            for row in run.request.headers
+            if row.name in ("fescueyard-token", "idempotency-key")
+        ]
+        onward = http.HttpRequest(run.request.method, target, headers, b"")
+
+        def done(answer, at_ms):
+            self._finish_run(
+                node,
+                run_id,
+                run,
+                http.HttpAnswer(answer.status, [], answer.body),
+            )
+
+        self._submit(node, onward, True, done)
+
+    def _finish_run(self, node, run_id, run, answer):
+        if run.cancelled or node.runs.get(run_id) is not run:
+            return
+        run.ended_at_ms = self.now_ms
+        del node.runs[run_id]
+        self._free_slot(node)
+        self._end_run(node, run_id, answer, codes.OK)
+
+    def _free_slot(self, node):
+        backend = node.backend
+        if backend is None:
+            return
+        backend.running -= 1
+        while backend.waiting:
+            run_id, run = backend.waiting.pop(0)
+            if not run.cancelled:
+                self._work(node, run_id, run)
+                return
+
+    def _crash(self, node):
+        run_ids = list(node.runs)
+        node.runs.clear()
+        node.backend.running = 0
+        node.backend.waiting.clear()
+        for run_id in run_ids:
+            self._end_run(node, run_id, None, codes.BACKEND_FAILED)
+
+    def _end_run(self, node, run_id, answer, code):
+        def end():
+            admission.finish_run(
+                node.tables, run_id, answer, code, self.now_ms
+            )
+            self._settle(node)
+
+        self._at(node, end)
+
+    # The network.
+
+    def _delay_ms(self, source, target):
+        if source == target:
+            return 0.01
+        same = self._zones.get(source) == self._zones.get(target)
+        base_ms = 0.1 if same else self.one_way_ms
+        return base_ms * self.random.uniform(1.0, 1.4)
+
+    def _is_cut(self, source, target):
+        if (source, target) in self.cut_pairs:
+            return True
+        if (target, source) in self.cut_pairs:
+            return True
+        zones = (self._zones.get(source), self._zones.get(target))
+        return zones[0] != zones[1] and bool(self.cut_zones & set(zones))
+
+    def _send(self, source, address, message):
+        target = address.partition(":")[0]
+        stream = self._streams.get((source, address))
+        if stream is None or not stream.open:
+            if not self._is_up(target):
+                self._schedule(
+                    1, lambda: self._unsent(source, address, message)
+                )
+                return
+            if self._is_cut(source, target):
+                self._schedule(
+                    CONNECT_TIMEOUT_MS,
+                    lambda: self._unsent(source, address, message),
+                )
+                return
+            stream = self._connect(source, target, address)
+        self._transmit(stream, message)
+
+    def _connect(self, source, target, address):
+        stream = Stream(source, target, address)
+        stream.peer = Stream(target, source, None)
+        stream.peer.peer = stream
+        self._streams[source, address] = stream
+        self._streams[target, id(stream.peer)] = stream.peer
+        return stream
+
+    def _transmit(self, stream, message):
+        if not stream.open:
+            return
+        if self._is_cut(stream.owner, stream.other):
+            stream.stalled.append(message)
+            return
+        payload = wire.encode(message)
+        self._count_bytes(stream.owner, len(payload) + 20)
+        delay_ms = self._delay_ms(stream.owner, stream.other)
+        at_ms = max(self.now_ms + delay_ms, stream.last_at_ms)
+        stream.last_at_ms = at_ms
+        arrival = stream.peer
+        self._schedule(
+            at_ms - self.now_ms,
+            lambda: self._arrive(arrival, payload, message),
+        )
+
+    def _arrive(self, stream, payload, message):
+        if not stream.open:
+            return
+        if self._is_cut(stream.owner, stream.other):
+            stream.peer.stalled.append(message)
+            return
+        if stream.owner in self.cluster.disks:
+            self._control_receive(stream, wire.decode(payload))
+            return
+        node = self.nodes.get(stream.owner)
+        if node is None:
+            return
+        sender = dispatch.Sender(stream.other, stream)
+
+        def receive():
+            node_systems.receive(
+                wire.decode(payload), node.tables, sender, self.now_ms
+            )
+            self._settle(node)
+
+        self._at(node, receive)
+
+    def _unsent(self, source, address, message):
+        node = self.nodes.get(source)
+        if node is not None:
+            dispatch.unsent(message, node.tables, address, self.now_ms)
+            self._settle(node)
+
+    def _break(self, stream):
+        for end in (stream, stream.peer):
+            if not end.open:
+                continue
+            end.open = False
+            key = end.address if end.address is not None else id(end)
+            self._streams.pop((end.owner, key), None)
+            node = self.nodes.get(end.owner)
+            if node is not None:
+                self._schedule(
+                    0.1, functools.partial(self._lost, node, end)
+                )
+
+    def _lost(self, node, end):
+        def lose():
+            node_systems.stream_lost(
+                node.tables, end.other, end.address, end, self.now_ms
+            )
+            self._settle(node)
+
+        self._at(node, lose)
+
+    def _send_datagram(self, source, address, message):
+        target = address.partition(":")[0]
+        payload = wire.encode(message)
+        self._count_bytes(source, len(payload) + 44)
+        if self._is_cut(source, target) or (
+            self.random.random() < self.datagram_loss
+        ):
+            return
+        self._schedule(
+            self._delay_ms(source, target),
+            lambda: self._datagram_arrives(target, payload),
+        )
+
+    def _datagram_arrives(self, target, payload):
+        node = self.nodes.get(target)
+        if node is None or node.frozen:
+            if target in self.cluster.tables:
+                self._control_receive(None, wire.decode(payload))
+            return
+        try:
+            node_systems.receive(
+                wire.decode(payload),
+                node.tables,
+                dispatch.Sender("", None),
+                self.now_ms,
+            )
+        except exceptions.StreamError:
+            return
+        self._settle(node)
+
+    def _count_bytes(self, source, count):
+        self.bytes_out[source] = self.bytes_out.get(source, 0) + count
+
+    def _is_up(self, target):
+        return target in self.nodes or target in self.cluster.tables
+
+    def _schedule(self, delay_ms, action):
+        heapq.heappush(
+            self._heap,
+            (self.now_ms + delay_ms, next(self._sequence), action),
+        )
+
+    # Control members.
+
+    def _control_now(self):
+        return self.now_ms + self._offset_ms
+
+    def _tick_control(self):
+        self.cluster.run(CONTROL_TICK_MS)
+        for member_id in list(self.cluster.tables):
+            if member_id not in self.cluster.frozen:
+                self._flush_control(member_id)
+        self._schedule(CONTROL_TICK_MS, self._tick_control)
+
+    def _control_receive(self, stream, message):
+        member_id = stream.owner if stream is not None else None
+        if member_id is None or member_id in self.cluster.frozen:
+            return
+        tables = self.cluster.tables.get(member_id)
+        if tables is None:
+            return
+        control_systems.receive(
+            message, tables, stream.other, stream, self._control_now()
+        )
+        self._flush_control(member_id)
+
+    def _flush_control(self, member_id):
+        tables = self.cluster.tables[member_id]
+        kept = []
+        for effect in tables.effects:
+            if isinstance(effect, effects.SendReply) and isinstance(
+                effect.stream, Stream
+            ):
+                self._transmit(effect.stream, effect.message)
+            else:
+                kept.append(effect)
+        tables.effects = kept
+        self.cluster._settle(member_id)
+
+
+def _note(told, answer, at_ms):
+    told.answer = answer
+    told.ended_at_ms = at_ms
+
+
+def _header(answer, name):
+    return http.find_header(answer.headers, name)
+
+
+def is_leader(tables):
+    """Say whether a control member leads."""
+    return tables.consensus.role is control_models.Role.LEADER
+
+
+def holds_lease(tables, now_ms):
+    """Say whether a control member holds its lease."""
+    return consensus.holds_lease(tables.consensus, now_ms)
