Prove keys, streams and answers under cuts, freezes and torn bytes

Found and mended: libcurl takes an answer whose headers were cut for a whole one with an empty body ('HttpAnswer(status=200, headers=[], body=b'')' at byte 17); an answer now counts only with its headers ended and its length framed. A zone that reached control only through another zone had fresh configuration but no tokens; it now asks a grantor of another zone. The dump showed key hashes as dict keys.

--- a/fescueyard/core/dumps.py
+++ b/fescueyard/core/dumps.py
@@ -7,7 +7,9 @@
 import random
 
 ITEMS_MAX = 200
-_HIDDEN = frozenset({"body", "document", "headers", "sha256", "secret"})
+_HIDDEN = frozenset(
+    {"body", "document", "headers", "keys_by_sha256", "secret", "sha256"}
+)
 
 
 def render(value):
--- a/fescueyard/limits/models.py
+++ b/fescueyard/limits/models.py
@@ -52,6 +52,7 @@
     :param asked_at_ms: when it was sent; None when it was answered.
     :param ask_due_ms: when the next question may be sent.
     :param report_due_ms: when one that only reports may be sent.
+    :param failures: questions in a row without an answer.
     :param failed_until_ms: the grantor is passed over until then.
     """
 
@@ -59,6 +60,7 @@
     asked_at_ms: float | None = None
     ask_due_ms: float = 0.0
     report_due_ms: float = 0.0
+    failures: int = 0
     failed_until_ms: float = float("-inf")
 
 
@@ -114,7 +116,9 @@
         default_factory=dict
     )
     links: dict[str, Link] = dataclasses.field(default_factory=dict)
-    grantors: dict[int, str] = dataclasses.field(default_factory=dict)
+    grantors: dict[tuple[int, bool], str] = dataclasses.field(
+        default_factory=dict
+    )
     grantors_version: int = -1
     control_turn: int = 0
 
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -23,6 +23,7 @@
 NODE_REPORT_MS = 20
 ZONE_REPORT_MS = 50
 GRANTOR_FAILED_MS = 3_000
+FLEET_FAILED_MS = 10_000
 WAIT_MAX_MS = 600
 NODE_AHEAD_S = 0.1
 ZONE_AHEAD_S = 0.2
@@ -142,6 +143,7 @@
         return
     asked_at_ms = link.asked_at_ms
     link.asked_at_ms = None
+    link.failures = 0
     link.failed_until_ms = float("-inf")
     if not message.in_charge:
         tables.limits.control_turn += 1
@@ -194,33 +196,48 @@
 
 
 def _grantor_of(tables, customer, now_ms):
-    """Find the node that grants this zone's tokens of a customer.
+    """Find the node that grants this node's tokens of a customer.
 
-    A grantor that does not answer is passed over for a while: this node then
-    asks the fleet itself. That is safe, as every holder is.
+    That is one of its zone. When it does not answer, this node asks the fleet
+    itself; when that does not answer either, a grantor of another zone, which
+    may still reach the fleet. That is safe, as every holder is.
     """
     table = tables.limits
     if table.grantors_version != tables.members.version:
         table.grantors.clear()
         table.grantors_version = tables.members.version
-    shard = hashlib.blake2b(customer.encode(), digest_size=1).digest()[0]
-    shard %= GRANTORS_PER_ZONE
-    node_id = table.grantors.get(shard)
+    digest = hashlib.blake2b(customer.encode(), digest_size=1).digest()
+    shard = digest[0] % GRANTORS_PER_ZONE
+    own_id = tables.members.own.node_id
+    node_id = _grantor(tables, shard, True)
+    if node_id != own_id and not _has_failed(table, node_id, now_ms):
+        return node_id
+    if not _has_failed(table, models.FLEET_LINK, now_ms):
+        return own_id
+    node_id = _grantor(tables, shard, False)
+    return own_id if _has_failed(table, node_id, now_ms) else node_id
+
+
+def _has_failed(table, key, now_ms):
+    link = table.links.get(key)
+    return link is not None and now_ms < link.failed_until_ms
+
+
+def _grantor(tables, shard, in_own_zone):
+    table = tables.limits
+    node_id = table.grantors.get((shard, in_own_zone))
     if node_id is None:
-        node_id = _choose_grantor(tables.members, shard)
-        table.grantors[shard] = node_id
-    link = table.links.get(node_id)
-    if link is not None and now_ms < link.failed_until_ms:
-        return tables.members.own.node_id
+        node_id = _choose_grantor(tables.members, shard, in_own_zone)
+        table.grantors[shard, in_own_zone] = node_id
     return node_id
 
 
-def _choose_grantor(members, shard):
+def _choose_grantor(members, shard, in_own_zone):
     """Choose by highest hash, so that few customers move with a change."""
     best = (b"", members.own.node_id)
     for member in members.rows.values():
         usable = (
-            member.zone == members.own.zone
+            (member.zone == members.own.zone) == in_own_zone
             and member.role == routing_models.NODE_ROLE
             and membership.is_alive(members, member.node_id)
         )
@@ -447,7 +464,11 @@
     """Give up on the open question; what it may have granted is lost."""
     link.asked_at_ms = None
     link.ask_due_ms = now_ms + ASK_PAUSE_MS
-    if key == models.FLEET_LINK:
-        tables.limits.control_turn += 1
-    else:
+    link.failures += 1
+    if key != models.FLEET_LINK:
         link.failed_until_ms = now_ms + GRANTOR_FAILED_MS
+        return
+    tables.limits.control_turn += 1
+    # Each control VM is tried before the fleet counts as out of reach.
+    if link.failures >= len(tables.control_addresses()):
+        link.failed_until_ms = now_ms + FLEET_FAILED_MS
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -12,6 +12,7 @@
 IDLE_HANDLES_MAX = 64
 CONNECT_TIMEOUT_MS = 500
 _BODYLESS = ("GET", "HEAD")
+_BODYLESS_STATUSES = (204, 304)
 
 
 @dataclasses.dataclass
@@ -29,22 +30,42 @@
 class _Transfer:
     """One request in progress at the backend server."""
 
-    def __init__(self, answer_bytes_max):
+    def __init__(self, method, answer_bytes_max):
         self.future = concurrent.futures.Future()
+        self.method = method
         self.headers = []
         self.body = bytearray()
         self.too_large = False
+        self.headers_complete = False
         self._answer_bytes_max = answer_bytes_max
 
     def take_header(self, line):
         text = line.decode("latin-1").strip()
         if text.startswith("HTTP/"):
             self.headers = []
+            self.headers_complete = False
+            return
+        if not text:
+            self.headers_complete = True
             return
         name, separator, value = text.partition(":")
         if separator:
             self.headers.append(http.Header(name.lower(), value.strip()))
 
+    def is_whole(self, status, method):
+        """Say whether the answer is known to be whole.
+
+        An answer whose end is only the end of the connection may have been
+        cut anywhere, so it does not count.
+        """
+        if not self.headers_complete:
+            return False
+        if method == "HEAD" or status in _BODYLESS_STATUSES:
+            return True
+        length = http.find_header(self.headers, "content-length")
+        coding = http.find_header(self.headers, "transfer-encoding")
+        return length is not None or coding is not None
+
     def take_body(self, data):
         if len(self.body) + len(data) > self._answer_bytes_max:
             self.too_large = True
@@ -81,7 +102,7 @@
         :returns: future of a :class:`BackendResult`; cancel it with
             :meth:`cancel`.
         """
-        transfer = _Transfer(self._answer_bytes_max)
+        transfer = _Transfer(request.method, self._answer_bytes_max)
         curl = self._idle.pop() if self._idle else pycurl.Curl()
         self._prepare(curl, base_url, request, idempotent, transfer)
         self._transfers[curl] = transfer
@@ -176,10 +197,11 @@
 
 def _result(curl, transfer, error):
     if error == 0:
+        status = curl.getinfo(pycurl.RESPONSE_CODE)
+        if not transfer.is_whole(status, transfer.method):
+            return BackendResult(None, codes.SHORT_ANSWER)
         answer = http.HttpAnswer(
-            curl.getinfo(pycurl.RESPONSE_CODE),
-            transfer.headers,
-            bytes(transfer.body),
+            status, transfer.headers, bytes(transfer.body)
         )
         return BackendResult(answer, codes.OK)
     if transfer.too_large:
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -87,6 +87,7 @@
         self.leaders_by_term = {}
         self.committed = {}
         self.history = []
+        self.outside = None
         self._open = {}
         self._sequence = itertools.count()
         self._in_flight = []
@@ -242,12 +243,11 @@
             self._push(member_id, outgoing.member_id, outgoing.message)
         pending, tables.effects = tables.effects, []
         for effect in pending:
-            if isinstance(effect, effects.SendMessage):
-                target = effect.address.partition(":")[0]
-                self._push(member_id, target, effect.message)
-            elif isinstance(effect, effects.SendReply):
-                target = effect.stream.member_id
+            target = _target(effect)
+            if target in self.disks:
                 self._push(member_id, target, effect.message)
+            elif self.outside is not None:
+                self.outside(member_id, effect)
         self._collect(tables)
 
     def _push(self, source, target, message, extra_ms=0):
@@ -310,6 +310,15 @@
         assert len(holders) <= 1, f"two leases: {holders}"
 
 
+def _target(effect):
+    """Find the member that an effect goes to, or None."""
+    if isinstance(effect, effects.SendMessage):
+        return effect.address.partition(":")[0]
+    if isinstance(effect, effects.SendReply):
+        return getattr(effect.stream, "member_id", None)
+    return None
+
+
 def _member(member_id, voter):
     return models.Member(
         member_id, f"{member_id}:1", f"{member_id}:2", "zone", voter
--- /dev/null
+++ b/tests/keys/test_keys.py
@@ -0,0 +1,151 @@
+"""Keys under withdrawal, cuts, freezes and late answers."""
+
+import pytest
+
+from fescueyard.configuration import models
+from fescueyard.core import codes
+from fescueyard.core import dumps
+from tests import setups
+
+WITHIN_MS = 4_000
+KEY = setups.KEYS["board"]
+NODES = [f"orders-{zone}-0" for zone in setups.ZONES]
+
+
+def _call_all(world, **headers):
+    told = [world.call(name, "/orders/work", KEY, **headers) for name in NODES]
+    world.run(1_000)
+    return [row.code for row in told]
+
+
+def test_withdrawn_key_stops_everywhere_within_seconds():
+    world = setups.small()
+    assert _call_all(world) == [codes.OK.number] * 3
+    setups.withdraw(world, "board")
+    world.run(1_500)
+    assert _call_all(world) == [codes.KEY_REFUSED.number] * 3
+
+
+@pytest.mark.parametrize("name", NODES)
+def test_withdrawn_key_stops_at_a_node_cut_off_from_everything(name):
+    world = setups.small()
+    for other in [*NODES, "m0"]:
+        world.cut_pairs.add((name, other))
+    setups.withdraw(world, "board")
+    world.run(WITHIN_MS + 100)
+    told = world.call(name, "/orders/work", KEY)
+    world.run(300)
+    assert told.code == codes.STALE_CONFIGURATION.number
+
+
+def test_withdrawn_key_stops_at_a_node_that_was_frozen():
+    world = setups.small()
+    name = NODES[1]
+    world.freeze(name)
+    setups.withdraw(world, "board")
+    world.run(WITHIN_MS + 100)
+    # The request is there before anything fresh can be.
+    told = world.call(name, "/orders/work", KEY)
+    world.thaw(name)
+    world.run(2_000)
+    assert told.code in (
+        codes.STALE_CONFIGURATION.number,
+        codes.KEY_REFUSED.number,
+    )
+    assert not [run for run in world.runs if run.node == name]
+
+
+def test_answer_stalled_by_a_cut_proves_nothing_after_it():
+    world = setups.small()
+    name = NODES[2]
+    world.run(490)
+    world.cut_pairs.add((name, "m0"))
+    for other in NODES:
+        world.cut_pairs.add((name, other))
+    setups.withdraw(world, "board")
+    world.run(WITHIN_MS + 500)
+    world.heal()
+    told = world.call(name, "/orders/work", KEY)
+    world.run(2_000)
+    assert told.code in (
+        codes.STALE_CONFIGURATION.number,
+        codes.KEY_REFUSED.number,
+    )
+
+
+def test_queued_request_of_a_withdrawn_key_does_not_run():
+    world = setups.small(zones=("zone-a",), deadline_default_ms=8_000)
+    node = world.nodes[NODES[0]]
+    slots = node.backend.slots
+    held = [
+        world.call(NODES[0], "/orders/work?ms=3000", KEY) for _ in range(slots)
+    ]
+    world.run(100)
+    queued = world.call(NODES[0], "/orders/work?body=queued", KEY)
+    world.run(100)
+    setups.withdraw(world, "board")
+    world.run(6_000)
+    assert [row.code for row in held] == [codes.OK.number] * slots
+    assert queued.code == codes.KEY_REFUSED.number
+    assert not [r for r in world.runs if "queued" in r.request.target]
+
+
+def test_zone_that_reaches_control_through_another_zone_goes_on():
+    world = setups.small()
+    for name in NODES[1:]:
+        world.cut_pairs.add((name, "m0"))
+    world.run(8_000)
+    assert _call_all(world) == [codes.OK.number] * 3
+
+
+def test_cut_zone_serves_open_routes_and_what_its_profile_allows():
+    world = setups.small()
+    setups.put(
+        world, "service", "orders", profile="standard", open_routes=["/open"]
+    )
+    world.run(1_500)
+    world.cut_zone("zone-c")
+    world.run(WITHIN_MS + 500)
+    name = NODES[2]
+    closed = world.call(name, "/orders/work", KEY)
+    opened = world.call(name, "/orders/open/list")
+    world.run(500)
+    assert closed.code == codes.STALE_CONFIGURATION.number
+    assert closed.header("retry-after") is not None
+    assert opened.code == codes.OK.number
+
+
+def test_newly_granted_key_works_everywhere_within_seconds():
+    world = setups.small()
+    setups.withdraw(world, "board")
+    world.run(2_000)
+    setups.grant(world, "board")
+    world.run(2_000)
+    assert _call_all(world) == [codes.OK.number] * 3
+
+
+def test_backend_server_never_sees_a_key_wherever_the_caller_puts_it():
+    world = setups.small()
+    name = NODES[0]
+    told = [
+        world.call(name, "/orders/work", KEY, x_key=KEY, cookie=f"a={KEY}"),
+        world.call(name, f"/orders/work?key={KEY}", KEY),
+        world.call(name, "/orders/work", KEY, "POST", KEY.encode()),
+    ]
+    world.run(500)
+    assert told[0].code == codes.OK.number
+    assert [row.code for row in told[1:]] == [codes.BAD_REQUEST.number] * 2
+    for run in world.runs:
+        seen = repr((run.request.target, run.request.headers))
+        assert KEY not in seen
+        assert KEY.encode() not in run.request.body
+
+
+def test_dump_shows_no_key_and_no_hash():
+    world = setups.small()
+    _call_all(world)
+    tables = world.nodes[NODES[0]].tables
+    row = tables.configuration.state.find(models.Kind.KEY, "board-key")
+    text = dumps.render(tables)
+    assert KEY not in text
+    assert row.sha256 not in text
--- /dev/null
+++ b/tests/setups.py
@@ -0,0 +1,66 @@
+"""Fleets in simulated time that the tests and benchmarks start from."""
+
+import hashlib
+import json
+
+from tests import world as worlds
+
+ZONES = worlds.ZONES
+KEYS = {
+    name: f"fyk_{name}-{'x' * 30}"
+    for name in ("board", "limewash", *(f"c{n}" for n in range(16)))
+}
+
+
+def put(world, kind, name, **document):
+    """Have an object accepted."""
+    world.configure(kind, name, json.dumps(document).encode())
+
+
+def grant(world, customer):
+    """Grant a customer its key of :data:`KEYS`."""
+    sha256 = hashlib.sha256(KEYS[customer].encode()).hexdigest()
+    put(world, "key", f"{customer}-key", customer=customer, sha256=sha256)
+
+
+def withdraw(world, customer):
+    """Withdraw a customer's key."""
+    world.configure("key", f"{customer}-key", b"")
+
+
+def small(
+    seed=1,
+    services=("orders",),
+    per_zone=1,
+    rate_per_s=1e5,
+    burst=100_000,
+    controls=1,
+    zones=ZONES,
+    **profile,
+):
+    """Make nodes of each service in each zone, two customers, and settle.
+
+    :param profile: fields of the profile.
+    :returns: the world, after its first four seconds.
+    """
+    world = worlds.World(seed, controls=controls)
+    put(world, "profile", "standard", **profile)
+    for service in services:
+        put(world, "service", service, profile="standard")
+    for name in ("board", "limewash"):
+        put(world, "firm", name)
+        put(
+            world,
+            "customer",
+            name,
+            firm=name,
+            rate_per_s=float(rate_per_s),
+            burst=burst,
+        )
+        grant(world, name)
+    for service in services:
+        for zone in zones:
+            for number in range(per_zone):
+                world.add_node(f"{service}-{zone}-{number}", zone, service)
+    world.run(4_000)
+    return world
--- a/tests/world.py
+++ b/tests/world.py
@@ -13,8 +13,6 @@
 
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import state as states
-from fescueyard.control import consensus
-from fescueyard.control import models as control_models
 from fescueyard.control import systems as control_systems
 from fescueyard.control import tables as control_tables
 from fescueyard.core import codes
@@ -32,6 +30,7 @@
 CONNECT_TIMEOUT_MS = 1_000
 CONTROL_TICK_MS = 20
 BACKEND_TTL_MS = 3_000
+ZONES = ("zone-a", "zone-b", "zone-c")
 
 
 @dataclasses.dataclass
@@ -49,7 +48,11 @@
         """Number of the result code, or None before the answer."""
         if self.answer is None:
             return None
-        return int(self.answer and _header(self.answer, "fescueyard-code"))
+        return int(self.header("fescueyard-code"))
+
+    def header(self, name):
+        """Find a header of the answer."""
+        return http.find_header(self.answer.headers, name)
 
 
 @dataclasses.dataclass
@@ -126,12 +129,14 @@
         self.bytes_out = {}
         self.cluster = harness.Cluster(controls, seed)
         self.cluster.run(3_000)
-        self._zones = {f"m{index}": "zone-a" for index in range(controls)}
+        self._zones = {
+            f"m{index}": ZONES[index % len(ZONES)] for index in range(controls)
+        }
+        self.cluster.outside = self._control_effect
         self._heap = []
         self._sequence = itertools.count()
         self._exchange_ids = itertools.count(1)
         self._streams = {}
-        self._offset_ms = self.cluster.now_ms
         self._version = 1
         self._schedule(0, self._tick_control)
 
@@ -204,11 +209,17 @@
     def cut_zone(self, zone):
         """Cut a zone off from the others."""
         self.cut_zones.add(zone)
+        members = list(self.cluster.disks)
+        for one in members:
+            for other in members:
+                if self._is_cut(one, other):
+                    self.cluster.cuts.add((one, other))
 
     def heal(self):
         """End all cuts; what was stalled arrives late."""
         self.cut_zones.clear()
         self.cut_pairs.clear()
+        self.cluster.cuts.clear()
         for stream in list(self._streams.values()):
             stalled, stream.stalled = stream.stalled, []
             for message in stalled:
@@ -500,7 +511,9 @@
             stream.peer.stalled.append(message)
             return
         if stream.owner in self.cluster.disks:
-            self._control_receive(stream, wire.decode(payload))
+            self._control_receive(
+                stream.owner, stream.other, stream, wire.decode(payload)
+            )
             return
         node = self.nodes.get(stream.owner)
         if node is None:
@@ -530,9 +543,7 @@
             self._streams.pop((end.owner, key), None)
             node = self.nodes.get(end.owner)
             if node is not None:
-                self._schedule(
-                    0.1, functools.partial(self._lost, node, end)
-                )
+                self._schedule(0.1, functools.partial(self._lost, node, end))
 
     def _lost(self, node, end):
         def lose():
@@ -557,10 +568,11 @@
         )
 
     def _datagram_arrives(self, target, payload):
+        if target in self.cluster.disks:
+            self._control_receive(target, "", None, wire.decode(payload))
+            return
         node = self.nodes.get(target)
         if node is None or node.frozen:
-            if target in self.cluster.tables:
-                self._control_receive(None, wire.decode(payload))
             return
         try:
             node_systems.receive(
@@ -588,55 +600,31 @@
     # Control members.
 
     def _control_now(self):
-        return self.now_ms + self._offset_ms
+        return self.cluster.now_ms
 
     def _tick_control(self):
         self.cluster.run(CONTROL_TICK_MS)
-        for member_id in list(self.cluster.tables):
-            if member_id not in self.cluster.frozen:
-                self._flush_control(member_id)
         self._schedule(CONTROL_TICK_MS, self._tick_control)
 
-    def _control_receive(self, stream, message):
-        member_id = stream.owner if stream is not None else None
-        if member_id is None or member_id in self.cluster.frozen:
-            return
+    def _control_receive(self, member_id, other, stream, message):
         tables = self.cluster.tables.get(member_id)
-        if tables is None:
+        if tables is None or member_id in self.cluster.frozen:
             return
         control_systems.receive(
-            message, tables, stream.other, stream, self._control_now()
+            message, tables, other, stream, self._control_now()
         )
-        self._flush_control(member_id)
-
-    def _flush_control(self, member_id):
-        tables = self.cluster.tables[member_id]
-        kept = []
-        for effect in tables.effects:
-            if isinstance(effect, effects.SendReply) and isinstance(
-                effect.stream, Stream
-            ):
-                self._transmit(effect.stream, effect.message)
-            else:
-                kept.append(effect)
-        tables.effects = kept
         self.cluster._settle(member_id)
 
+    def _control_effect(self, member_id, effect):
+        if isinstance(effect, effects.SendReply):
+            if effect.stream is not None:
+                self._transmit(effect.stream, effect.message)
+        elif isinstance(effect, effects.SendDatagram):
+            self._send_datagram(member_id, effect.address, effect.message)
+        elif isinstance(effect, effects.SendMessage):
+            self._send(member_id, effect.address, effect.message)
+
 
 def _note(told, answer, at_ms):
     told.answer = answer
     told.ended_at_ms = at_ms
-
-
-def _header(answer, name):
-    return http.find_header(answer.headers, name)
-
-
-def is_leader(tables):
-    """Say whether a control member leads."""
-    return tables.consensus.role is control_models.Role.LEADER
-
-
-def holds_lease(tables, now_ms):
-    """Say whether a control member holds its lease."""
-    return consensus.holds_lease(tables.consensus, now_ms)
