--- /dev/null
+++ b/tests/ingress/test_outcomes.py
@@ -0,0 +1,162 @@
+"""Outcomes told to callers against what backend servers really ran."""
+
+import json
+
+import pytest
+
+from fescueyard.core import codes
+from tests import setups
+
+KEY = setups.KEYS["board"]
+NODES = [f"orders-{zone}-{n}" for zone in setups.ZONES for n in range(2)]
+
+
+class Chaos:
+    """Random calls and faults; then every outcome is checked."""
+
+    def __init__(self, seed):
+        self.world = setups.small(
+            seed, per_zone=2, deadline_default_ms=1_000, retry_allowance=3
+        )
+        for node in self.world.nodes.values():
+            node.backend.slots = 4
+        self.random = self.world.random
+        self.told = {}
+
+    def run(self, steps):
+        """Take random steps, then let everything end."""
+        for _ in range(steps):
+            action = self.random.choice(
+                [self._call] * 12
+                + [self._cut, self._heal, self._freeze, self._thaw]
+                + [self._kill, self._crash, self._leave, self._slow]
+            )
+            action()
+            self.world.run(self.random.choice((1, 5, 40)))
+        self.world.heal()
+        for node in list(self.world.nodes.values()):
+            if node.frozen:
+                self.world.thaw(node.name)
+        self.world.run(10_000)
+
+    def check(self):
+        """Check what every caller was told."""
+        runs = {}
+        for run in self.world.runs:
+            number = run.request.target.partition("id=")[2]
+            runs.setdefault(number, []).append(run)
+        for number, told in self.told.items():
+            ran = runs.get(number, [])
+            if told.request.method == "POST":
+                assert len(ran) <= 1, f"{number} ran twice"
+            if told.answer is None:
+                continue
+            outcome = told.header("fescueyard-outcome")
+            if outcome == "not_run":
+                assert not ran, f"{number} ran: {told}"
+            if told.answer.status == 200:
+                assert told.answer.body == number.encode()
+                assert ran
+
+    def _call(self):
+        names = [name for name in NODES if name in self.world.nodes]
+        if not names:
+            return
+        number = str(len(self.told))
+        method = self.random.choice(("GET", "POST"))
+        ms = self.random.choice((1, 20, 300))
+        target = f"/orders/work?ms={ms}&body={number}&id={number}"
+        self.told[number] = self.world.call(
+            self.random.choice(names), target, KEY, method
+        )
+
+    def _cut(self):
+        self.world.cut_pairs.add(tuple(self.random.sample(NODES, 2)))
+
+    def _heal(self):
+        self.world.heal()
+
+    def _freeze(self):
+        name = self.random.choice(NODES)
+        if name in self.world.nodes:
+            self.world.freeze(name)
+
+    def _thaw(self):
+        for node in list(self.world.nodes.values()):
+            if node.frozen:
+                self.world.thaw(node.name)
+
+    def _kill(self):
+        name = self.random.choice(NODES)
+        if name in self.world.nodes and self.random.random() < 0.5:
+            self.world.kill(name)
+        elif name not in self.world.nodes:
+            zone = name.partition("-")[2].rpartition("-")[0]
+            self.world.add_node(name, zone, "orders", slots=4)
+
+    def _crash(self):
+        node = self.world.nodes.get(self.random.choice(NODES))
+        if node is not None and not node.frozen:
+            self.world._crash(node)
+
+    def _leave(self):
+        open_calls = [
+            row
+            for row in self.told.values()
+            if row.answer is None and row.node in self.world.nodes
+        ]
+        if open_calls:
+            self.world.leave_call(self.random.choice(open_calls))
+
+    def _slow(self):
+        node = self.world.nodes.get(self.random.choice(NODES))
+        if node is not None:
+            node.backend.slowdown = self.random.choice((1.0, 5.0))
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_outcomes_are_true_under_random_faults(seed):
+    chaos = Chaos(seed)
+    chaos.run(500)
+    chaos.check()
+    outcomes = {
+        row.header("fescueyard-outcome")
+        for row in chaos.told.values()
+        if row.answer is not None
+    }
+    assert outcomes == {"ran", "not_run", "may_have_run"}
+
+
+def test_late_answer_is_counted_and_not_delivered():
+    world = setups.small(zones=("zone-a", "zone-b"))
+    first, second = world.nodes
+    world.nodes[first].tables.runs.backend.leaving = True
+    told = world.call(first, "/orders/work?ms=50&body=late", KEY)
+    world.run(20)
+    world.cut_pairs.add((first, second))
+    world.run(2_500)
+    assert told.code == codes.DEADLINE_EXCEEDED.number
+    world.heal()
+    world.run(500)
+    counters = world.nodes[first].tables.metrics.counters
+    assert told.code == codes.DEADLINE_EXCEEDED.number
+    assert counters["late_answers"] <= 1
+
+
+def test_caller_that_leaves_cancels_the_run():
+    world = setups.small(zones=("zone-a",))
+    told = world.call("orders-zone-a-0", "/orders/work?ms=500", KEY)
+    world.run(50)
+    world.leave_call(told)
+    world.run(1_000)
+    assert [run.cancelled for run in world.runs] == [True]
+
+
+def test_refusal_is_a_problem_document_with_its_outcome():
+    world = setups.small(zones=("zone-a",))
+    told = world.call("orders-zone-a-0", "/orders/work")
+    world.run(100)
+    members = json.loads(told.answer.body)
+    assert members["code"] == codes.KEY_MISSING.number
+    assert members["outcome"] == "not_run"
+    assert told.header("content-type") == "application/problem+json"
