Keep each customer within its rate and burst over the fleet

Ruled out: a longer report interval (refusals grew), prefetching by demand alone (a burst of 60 over six nodes: 59 granted).

Change: tokens for calls to come are granted out of plenty only; a call may wait 60 ms for a token when the bucket is empty, as many as the rate brings in that time; a new leader's empty bucket is no refusal; elections after 500 to 900 ms instead of 800 to 1,600; a node with no grantor left refuses at once. A check counted refusals that one ideal bucket would also make (Poisson bursts over a burst of 10); it now compares with that bucket, at the same 0.1 %.

Seen failing without the mechanism: no tokens (excess 1,985); held tokens left out of the cap (excess 0.97); a new leader with a full bucket ('31 <= 2'); answers to overtaken questions counted ('5 == 0'); tokens used past their lifetime in a cut zone.

--- a/fescueyard/control/consensus.py
+++ b/fescueyard/control/consensus.py
@@ -15,11 +15,11 @@
 from fescueyard.core import wire
 
 HEARTBEAT_MS = 100
-ELECTION_TIMEOUT_MIN_MS = 800
-ELECTION_TIMEOUT_MAX_MS = 1_600
+ELECTION_TIMEOUT_MIN_MS = 500
+ELECTION_TIMEOUT_MAX_MS = 900
 # Shorter than the shortest election timeout, so that the lease ends before
 # another member can be elected.
-LEASE_MS = 600
+LEASE_MS = 400
 ENTRIES_PER_MESSAGE_MAX = 256
 SNAPSHOT_RESEND_MS = 2_000
 
--- a/fescueyard/limits/fleet.py
+++ b/fescueyard/limits/fleet.py
@@ -13,6 +13,7 @@
 from fescueyard.limits import models
 
 LIFETIME_MS = 2_000
+PLENTY_SHARE = 0.25
 
 
 def take_charge(table, term, now_ms):
@@ -44,7 +45,9 @@
         )
         if customer is None:
             grants.append(
-                messages.TokenGrant(wish.customer, 0, True, LIFETIME_MS, 0.0)
+                messages.TokenGrant(
+                    wish.customer, 0, True, LIFETIME_MS, LIFETIME_MS, 0.0
+                )
             )
             continue
         bucket = _bucket(table, wish.customer)
@@ -98,7 +101,7 @@
     row = bucket.held.get(ask.holder_id)
     if row is not None and ask.question_id <= row.question_id:
         # An old question that was overtaken; its answer is void anyway.
-        return messages.TokenGrant(wish.customer, 0, False, 0.0, 0.0)
+        return messages.TokenGrant(wish.customer, 0, False, 0.0, 0.0, 0.0)
     known = row.tokens if row is not None else 0
     # Never believe in more than was granted, nor in a return beyond it.
     returned = max(0, min(wish.returned, known - wish.held))
@@ -113,6 +116,10 @@
     if reserve:
         room = min(room, customer.burst - reserve - held_by_others)
     granted = max(0, min(wish.wanted, int(bucket.level), room))
+    # Tokens for calls to come are given out of plenty only, or a zone could
+    # hoard what another one's callers need.
+    plenty = int(bucket.level - granted - customer.burst * PLENTY_SHARE)
+    granted += max(0, min(wish.ahead, plenty, room - granted))
     bucket.level -= granted
     bucket.held[ask.holder_id] = models.HeldRow(
         own_held + granted, now_ms + LIFETIME_MS, ask.question_id
@@ -122,7 +129,14 @@
     if missing:
         lacking = max(0.0, 1 - bucket.level)
         wait_ms = max(1.0, 1000 * lacking / customer.rate_per_s)
-    exhausted = missing and bucket.level < 1
+    # A new leader's bucket is empty for what it can't know. That is no reason
+    # to refuse a call that may wait.
+    exhausted = missing and bucket.level < 1 and not reserve
     return messages.TokenGrant(
-        wish.customer, granted, exhausted, wait_ms, LIFETIME_MS
+        wish.customer,
+        granted,
+        exhausted,
+        wait_ms,
+        1000 / customer.rate_per_s,
+        LIFETIME_MS,
     )
--- a/fescueyard/limits/messages.py
+++ b/fescueyard/limits/messages.py
@@ -12,13 +12,15 @@
     :param customer: name of the customer.
     :param held: tokens it holds now, those it granted on included.
     :param returned: tokens it gives back with this question.
-    :param wanted: tokens it wants more.
+    :param wanted: tokens that waiting calls need more.
+    :param ahead: tokens it would like on top, for calls to come.
     """
 
     customer: str
     held: int
     returned: int
     wanted: int
+    ahead: int
 
 
 @dataclasses.dataclass(slots=True)
@@ -29,6 +31,7 @@
     :param granted: tokens granted.
     :param exhausted: the grantor has no more, and neither has who is above.
     :param retry_after_ms: when there may be a token again.
+    :param token_every_ms: time in which the rate yields a token.
     :param lifetime_ms: from the time of the question, how long these and
         the holder's other tokens may be used.
     """
@@ -37,6 +40,7 @@
     granted: int
     exhausted: bool
     retry_after_ms: float
+    token_every_ms: float
     lifetime_ms: float
 
 
--- a/fescueyard/limits/models.py
+++ b/fescueyard/limits/models.py
@@ -75,6 +75,7 @@
     :param demand_per_s: tokens asked for of late.
     :param demand_at_ms: time up to which the demand was aged.
     :param exhausted_until_ms: the grantor above has none before this.
+    :param token_every_ms: time in which the rate yields a token.
     :param reported_held: what the grantor above was told last.
     """
 
@@ -85,6 +86,7 @@
     demand_per_s: float = 0.0
     demand_at_ms: float = 0.0
     exhausted_until_ms: float = float("-inf")
+    token_every_ms: float = 1.0
     reported_held: int = 0
 
 
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -24,7 +24,10 @@
 ZONE_REPORT_MS = 50
 GRANTOR_FAILED_MS = 3_000
 FLEET_FAILED_MS = 10_000
-WAIT_MAX_MS = 600
+WAIT_MAX_MS = 1_500
+# A call waits so long for a token when the bucket is empty just now; enough
+# for one to come back that another zone did not use.
+SHORT_WAIT_MS = 60
 NODE_AHEAD_S = 0.1
 ZONE_AHEAD_S = 0.2
 DEMAND_WINDOW_MS = 1_000
@@ -63,15 +66,17 @@
     """
     holding = _own_holding(tables, customer, now_ms)
     _note_demand(holding, 1, now_ms)
-    waiting = tables.limits.waiting.get(customer)
+    waiting = tables.limits.waiting.get(customer, [])
     if not waiting and _spend(holding, now_ms):
         _decide(tables, call_id, customer, codes.OK, 0.0)
-    elif now_ms < holding.exhausted_until_ms:
+    elif _is_cut_off(tables, customer, now_ms):
+        _decide(tables, call_id, customer, codes.RATE_UNKNOWN, FLEET_FAILED_MS)
+    elif len(waiting) >= _may_wait(holding, now_ms):
         wait_ms = holding.exhausted_until_ms - now_ms
         _decide(tables, call_id, customer, codes.RATE_EXCEEDED, wait_ms)
     else:
-        row = models.WaitingCall(call_id, now_ms)
-        tables.limits.waiting.setdefault(customer, []).append(row)
+        waiting.append(models.WaitingCall(call_id, now_ms))
+        tables.limits.waiting[customer] = waiting
         _ask_all(tables, now_ms)
 
 
@@ -178,6 +183,28 @@
     tables.events.append(RateDecided(call_id, customer, code, retry_after_ms))
 
 
+def _is_cut_off(tables, customer, now_ms):
+    """Say whether no grantor is left to ask."""
+    table = tables.limits
+    own_id = tables.members.own.node_id
+    if _grantor_of(tables, customer, now_ms) != own_id:
+        return False
+    return _has_failed(table, models.FLEET_LINK, now_ms)
+
+
+def _may_wait(holding, now_ms):
+    """Say how many calls may wait for a token.
+
+    While the bucket is empty, only as many as tokens should come in a short
+    wait; the others get their refusal at once.
+    """
+    if now_ms >= holding.exhausted_until_ms:
+        return float("inf")
+    if holding.token_every_ms > SHORT_WAIT_MS:
+        return 0
+    return SHORT_WAIT_MS // holding.token_every_ms
+
+
 def _note_demand(holding, count, now_ms):
     elapsed_ms = now_ms - holding.demand_at_ms
     holding.demand_at_ms = now_ms
@@ -265,14 +292,16 @@
     _drop_expired(pool, now_ms)
     row = pool.granted.get(ask.holder_id)
     if row is not None and ask.question_id <= row.question_id:
-        return messages.TokenGrant(wish.customer, 0, False, 0.0, 0.0)
+        return messages.TokenGrant(wish.customer, 0, False, 0.0, 0.0, 0.0)
     known = row.tokens if row is not None else 0
     held = max(0, min(wish.held, known))
     pool.tokens += max(0, min(wish.returned, known - held))
     granted = max(0, min(wish.wanted, pool.tokens))
     _note_demand(pool, granted, now_ms)
+    # What is asked for calls to come may not starve those that wait.
+    granted += max(0, min(wish.ahead, (pool.tokens - granted) // 2))
     pool.tokens -= granted
-    missing = wish.wanted - granted
+    missing = max(0, wish.wanted - granted)
     pool.wanted = max(pool.wanted, missing)
     lifetime_ms = max(0.0, pool.expires_at_ms - now_ms - SAFETY_MS)
     pool.granted[ask.holder_id] = models.HeldRow(
@@ -281,7 +310,12 @@
     exhausted = missing > 0 and now_ms < pool.exhausted_until_ms
     wait_ms = max(0.0, pool.exhausted_until_ms - now_ms)
     return messages.TokenGrant(
-        wish.customer, granted, exhausted, wait_ms, lifetime_ms
+        wish.customer,
+        granted,
+        exhausted,
+        wait_ms,
+        pool.token_every_ms,
+        lifetime_ms,
     )
 
 
@@ -309,6 +343,7 @@
     holding.wanted = 0
     if grant.exhausted:
         holding.exhausted_until_ms = now_ms + grant.retry_after_ms
+        holding.token_every_ms = max(1.0, grant.token_every_ms)
     else:
         holding.exhausted_until_ms = float("-inf")
 
@@ -320,9 +355,16 @@
         holding = _own_holding(tables, customer, now_ms)
         while rows and _spend(holding, now_ms):
             _decide(tables, rows.pop(0).call_id, customer, codes.OK, 0.0)
-        if now_ms < holding.exhausted_until_ms:
-            wait_ms = holding.exhausted_until_ms - now_ms
-            for row in rows:
+        kept = []
+        for row in rows:
+            waited_ms = now_ms - row.since_ms
+            if len(kept) < _may_wait(holding, now_ms) and (
+                now_ms >= holding.exhausted_until_ms
+                or waited_ms < SHORT_WAIT_MS
+            ):
+                kept.append(row)
+            else:
+                wait_ms = holding.exhausted_until_ms - now_ms
                 _decide(
                     tables,
                     row.call_id,
@@ -330,8 +372,8 @@
                     codes.RATE_EXCEEDED,
                     wait_ms,
                 )
-            rows.clear()
-        if not rows:
+        table.waiting[customer] = kept
+        if not kept:
             del table.waiting[customer]
 
 
@@ -437,16 +479,17 @@
         needed = ahead = 0
     returned = max(0, holding.tokens - max(needed, 2 * ahead))
     held = _held(holding) - returned
-    wanted = 0
-    if now_ms >= holding.exhausted_until_ms and (
-        needed > holding.tokens or 2 * holding.tokens < ahead
-    ):
-        wanted = max(needed, ahead) - holding.tokens
+    wanted = extra = 0
+    if now_ms >= holding.exhausted_until_ms:
+        wanted = max(0, needed - holding.tokens)
+        if wanted or 2 * holding.tokens < ahead:
+            extra = max(0, ahead - max(needed, holding.tokens))
     renew = held > 0 and holding.expires_at_ms - now_ms < RENEW_MS
-    if not (wanted or returned or renew or held != holding.reported_held):
+    reports = returned > 0 or held != holding.reported_held
+    if not (wanted or extra or renew or reports):
         return None
-    wish = messages.TokenWish(customer, held, returned, wanted)
-    return _Draft(wish, wanted > 0 or renew)
+    wish = messages.TokenWish(customer, held, returned, wanted, extra)
+    return _Draft(wish, wanted + extra > 0 or renew)
 
 
 def _forget_idle(holdings, now_ms):
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -132,13 +132,17 @@
         end_ms = self.now_ms + duration_ms
         while self.now_ms < end_ms:
             self.now_ms += TICK_MS
-            while self._in_flight and self._in_flight[0][0] <= self.now_ms:
-                _, _, source, target, message = heapq.heappop(self._in_flight)
-                self._deliver(source, target, message)
-            for member_id in list(self.tables):
-                if member_id not in self.frozen:
-                    systems.tick(self.tables[member_id], self.now_ms)
-                    self._settle(member_id)
+            self.step()
+
+    def step(self):
+        """Deliver what has arrived, and have each member tick once."""
+        while self._in_flight and self._in_flight[0][0] <= self.now_ms:
+            _, _, source, target, message = heapq.heappop(self._in_flight)
+            self._deliver(source, target, message)
+        for member_id in list(self.tables):
+            if member_id not in self.frozen:
+                systems.tick(self.tables[member_id], self.now_ms)
+                self._settle(member_id)
 
     def receive(self, target, source, message):
         """Have a member take in a message at once."""
--- /dev/null
+++ b/tests/limits/test_rate.py
@@ -0,0 +1,276 @@
+"""Rate and burst over the fleet: never more, and not less without need."""
+
+import pytest
+
+from fescueyard.configuration import models as configuration_models
+from fescueyard.configuration import state as states
+from fescueyard.core import codes
+from fescueyard.core import dispatch
+from fescueyard.limits import fleet
+from fescueyard.limits import messages
+from fescueyard.limits import models as limit_models
+from fescueyard.limits import systems as limits
+from tests import setups
+
+KEY = setups.KEYS["board"]
+RATE_PER_S = 100.0
+BURST = 60
+REFUSED_SHARE_MAX = 0.001
+
+
+class Meter:
+    """Notes each token as it is spent, and each refusal."""
+
+    def __init__(self, monkeypatch):
+        self.world = None
+        self.spent_at_ms = []
+        self.refused = []
+        decide = limits._decide
+
+        def note(tables, call_id, customer, code, retry_after_ms):
+            if code is codes.OK:
+                self.spent_at_ms.append(self.world.now_ms)
+            else:
+                self.refused.append((self.world.now_ms, code.name))
+            decide(tables, call_id, customer, code, retry_after_ms)
+
+        monkeypatch.setattr(limits, "_decide", note)
+
+    def highest_excess(self, rate_per_s, burst):
+        """Find by how much any window exceeds rate times time plus burst."""
+        level = float(burst)
+        last_ms = 0.0
+        worst = 0.0
+        for at_ms in self.spent_at_ms:
+            level += rate_per_s * (at_ms - last_ms) / 1000
+            level = min(level, float(burst)) - 1
+            last_ms = at_ms
+            worst = max(worst, -level)
+        return worst
+
+
+@pytest.fixture
+def meter(monkeypatch):
+    """Give a meter of tokens."""
+    return Meter(monkeypatch)
+
+
+def _fleet(meter, seed=1, rate_per_s=RATE_PER_S, burst=BURST, **options):
+    world = setups.small(
+        seed,
+        per_zone=2,
+        controls=3,
+        rate_per_s=rate_per_s,
+        burst=burst,
+        **options,
+    )
+    for node in world.nodes.values():
+        node.backend.slots = 200
+    world.run(3_000)
+    meter.world = world
+    meter.spent_at_ms.clear()
+    meter.refused.clear()
+    return world
+
+
+def _load(world, rate_per_s, duration_ms, choose):
+    """Send calls at random times to the nodes that ``choose`` picks."""
+    end_ms = world.now_ms + duration_ms
+    calls = []
+    while world.now_ms < end_ms:
+        world.run(world.random.expovariate(rate_per_s / 1000))
+        name = choose(world)
+        if name in world.nodes:
+            target = f"/orders/work?ms=1&id={len(calls)}"
+            calls.append(world.call(name, target, KEY, "POST"))
+    world.run(1_000)
+    return calls
+
+
+def _refused_within_rate(calls, rate_per_s, burst):
+    """List the refused calls that one ideal bucket would have let pass."""
+    level = float(burst)
+    last_ms = 0.0
+    found = []
+    for told in calls:
+        level += rate_per_s * (told.started_at_ms - last_ms) / 1000
+        level = min(level, float(burst))
+        last_ms = told.started_at_ms
+        if level < 1:
+            continue
+        level -= 1
+        if told.code != codes.OK.number:
+            found.append((told.started_at_ms, told.code))
+    return found
+
+
+def _any(world):
+    return world.random.choice(list(world.nodes))
+
+
+def _one(world):
+    return next(iter(world.nodes))
+
+
+def _moving(world):
+    names = list(world.nodes)
+    return names[int(world.now_ms // 700) % len(names)]
+
+
+@pytest.mark.parametrize("choose", [_any, _one, _moving])
+def test_never_above_rate_and_burst_under_three_times_the_load(meter, choose):
+    world = _fleet(meter)
+    _load(world, 3 * RATE_PER_S, 10_000, choose)
+    assert meter.highest_excess(RATE_PER_S, BURST) <= 0.0
+    # Nor much less: the rate is there to be used.
+    assert len(meter.spent_at_ms) >= 0.95 * (RATE_PER_S * 10 + BURST)
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_never_above_rate_and_burst_under_faults(meter, seed):
+    world = _fleet(meter, seed)
+    random = world.random
+
+    def fault():
+        names = list(world.nodes)
+        choice = random.random()
+        if choice < 0.15 and len(names) > 3:
+            victim = random.choice(names)
+            world.kill(victim)
+            world.add_node(f"{victim}+", random.choice(setups.ZONES), "orders")
+        elif choice < 0.35:
+            world.cut_zone(random.choice(setups.ZONES))
+        elif choice < 0.45:
+            world.cut_pairs.add(tuple(random.sample(names, 2)))
+        elif choice < 0.55:
+            world.freeze(random.choice(names))
+        elif choice < 0.65:
+            leader_id = world.cluster.leader()
+            if leader_id is not None:
+                world.cluster.crash(leader_id)
+        elif choice < 0.75:
+            leader_id = world.cluster.leader()
+            if leader_id is not None:
+                world.cluster.frozen.add(leader_id)
+        else:
+            world.heal()
+            world.cluster.frozen.clear()
+            for node in list(world.nodes.values()):
+                if node.frozen:
+                    world.thaw(node.name)
+            for member_id in world.cluster.disks:
+                if member_id not in world.cluster.tables:
+                    world.cluster.start(member_id)
+        world.later(400, fault)
+
+    world.later(100, fault)
+    _load(world, 3 * RATE_PER_S, 10_000, _any)
+    assert meter.highest_excess(RATE_PER_S, BURST) <= 0.0
+    assert len(meter.spent_at_ms) > RATE_PER_S
+
+
+@pytest.mark.parametrize("choose", [_any, _one, _moving])
+@pytest.mark.parametrize(
+    ("rate_per_s", "burst"), [(100.0, 60), (20.0, 10), (400.0, 400)]
+)
+def test_refusals_within_rate_are_rare(meter, choose, rate_per_s, burst):
+    world = _fleet(meter, rate_per_s=rate_per_s, burst=burst)
+    calls = _load(world, 0.7 * rate_per_s, 20_000, choose)
+    refused = _refused_within_rate(calls, rate_per_s, burst)
+    assert len(refused) <= REFUSED_SHARE_MAX * len(calls), refused
+
+
+def test_whole_burst_at_once_is_granted(meter):
+    world = _fleet(meter)
+    for number in range(BURST):
+        world.call(_any(world), f"/orders/work?ms=1&id={number}", KEY)
+    world.run(1_000)
+    assert len(meter.spent_at_ms) == BURST
+    assert not meter.refused
+
+
+def test_change_of_leader_refuses_little_within_rate(meter):
+    world = _fleet(meter)
+    world.later(5_000, lambda: world.cluster.crash(world.cluster.leader()))
+    calls = _load(world, 0.5 * RATE_PER_S, 12_000, _any)
+    refused = _refused_within_rate(calls, RATE_PER_S, BURST)
+    print(f"{len(refused)} of {len(calls)} refused over a change of leader")
+    assert meter.highest_excess(RATE_PER_S, BURST) <= 0.0
+    assert len(refused) <= REFUSED_SHARE_MAX * len(calls)
+
+
+def test_lowered_rate_is_in_force_within_seconds(meter):
+    world = _fleet(meter)
+    setups.put(
+        world,
+        "customer",
+        "board",
+        firm="board",
+        rate_per_s=RATE_PER_S / 10,
+        burst=6,
+    )
+    world.run(3_000)
+    meter.spent_at_ms.clear()
+    _load(world, 3 * RATE_PER_S, 5_000, _any)
+    assert meter.highest_excess(RATE_PER_S / 10, 6) <= 0.0
+
+
+def test_refusal_over_the_rate_says_when_to_come_back(meter):
+    world = _fleet(meter)
+    told = [
+        world.call(_one(world), f"/orders/work?ms=1&id={number}", KEY)
+        for number in range(2 * BURST)
+    ]
+    world.run(1_000)
+    refused = [row for row in told if row.code == codes.RATE_EXCEEDED.number]
+    assert refused
+    assert all(row.header("retry-after") for row in refused)
+    # Refused at once, and not held until near the deadline.
+    assert max(row.ended_at_ms - row.started_at_ms for row in refused) < 100
+
+
+def test_tokens_held_in_a_cut_zone_are_void_before_they_count_elsewhere(meter):
+    burst = 600
+    world = _fleet(meter, burst=burst, key_staleness_max_ms=60_000)
+    inside = [name for name in world.nodes if "zone-c" in name]
+    outside = [name for name in world.nodes if "zone-c" not in name]
+    _load(world, RATE_PER_S, 3_000, lambda _: world.random.choice(inside))
+    world.cut_zone("zone-c")
+    world.run(3_500)
+    meter.spent_at_ms.clear()
+    for number in range(burst + 100):
+        target = f"/orders/work?ms=1&id={number}"
+        world.call(outside[number % len(outside)], target, KEY)
+        world.call(inside[number % len(inside)], target, KEY)
+    world.run(200)
+    assert meter.highest_excess(RATE_PER_S, burst) <= 0.0
+
+
+def test_answer_to_an_overtaken_question_is_void(meter):
+    world = _fleet(meter)
+    name = _one(world)
+    tables = world.nodes[name].tables
+    pool = limit_models.Holding()
+    tables.limits.pools["board"] = pool
+    link = limit_models.Link(question_id=2, asked_at_ms=world.now_ms)
+    tables.limits.links[limit_models.FLEET_LINK] = link
+    grant = messages.TokenGrant("board", 5, False, 0.0, 10.0, 2_000.0)
+    late = messages.TokenAnswer(1, True, True, [grant])
+    dispatch.receive(late, tables, dispatch.Sender("m0", None), world.now_ms)
+    assert pool.tokens == 0
+
+
+def test_new_leader_leaves_out_what_old_holders_may_have():
+    state = states.ConfigurationState("c-1")
+    customer = configuration_models.Customer("board", 1.0, BURST)
+    state.objects[configuration_models.Kind.CUSTOMER]["board"] = customer
+    table = limit_models.FleetTable()
+    fleet.take_charge(table, 2, 0.0)
+    granted = 0
+    for number in range(1, 20):
+        now_ms = number * fleet.LIFETIME_MS / 20
+        wish = messages.TokenWish("board", 0, 0, BURST, 0)
+        ask = messages.TokenAsk(number, "holder", True, [wish])
+        granted += fleet.answer(table, state, ask, now_ms).grants[0].granted
+    # One token a second came; the burst may be with the old holders.
+    assert granted <= 2
