Send to the leaving backend server in the test that proves its refusal

Change: the callers' node has none of its own and lies in the leaving one's zone. Without the check the test now fails with runs after leaving; with it, it passes.

--- a/tests/routing/test_leaving.py
+++ b/tests/routing/test_leaving.py
@@ -50,6 +50,8 @@
 
 def test_leaving_is_kept_before_anybody_has_heard_of_it():
     world = setups.small()
+    world.add_node("gate", "zone-b")
+    world.run(3_000)
     world.datagram_loss = 1.0
     told = []
     node = world.nodes[NODES[1]]
@@ -57,8 +59,12 @@
     admission.leave(node.tables, world.now_ms)
     world._settle(node)
     left_at_ms = world.now_ms
-    _steady(world, 400, told)
+    for _ in range(40):
+        told.append(world.call("gate", "/orders/work?ms=20", KEY))
+        world.run(10)
     world.run(1_000)
+    # The gate still took it for accepting, and its zone for nearest.
+    assert NODES[1] in world.nodes["gate"].tables.members.targets
     assert not [
         run
         for run in world.runs
