Pass over a backend server that said it is leaving

Change: a node that answers 'leaving' or 'no backend server' is passed over for 2 s, by when gossip has told.

Measured: tests/routing and tests/retries pass; the mutant that accepts while leaving fails with runs after leaving.

--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -271,6 +271,8 @@
         tables.metrics.count("late_answers")
         return
     choice.note_load(tables, node_id, told.load, told.limit, now_ms)
+    if told.code in (codes.LEAVING.number, codes.NO_BACKEND.number):
+        choice.note_refusing(tables, node_id, now_ms)
     if told.crash_id:
         call = tables.calls.rows[attempt.call_id]
         quarantine.note_told_crash(
--- a/fescueyard/routing/choice.py
+++ b/fescueyard/routing/choice.py
@@ -12,6 +12,7 @@
 FAILURES_BEFORE_EJECTION = 5
 EJECTION_MS = 1_000
 EJECTION_MAX_MS = 30_000
+REFUSING_MS = 2_000
 EJECTED_SHARE_MAX = 0.34
 
 
@@ -86,6 +87,20 @@
         target.ejections = min(target.ejections + 1, 16)
 
 
+def note_refusing(tables, node_id, now_ms):
+    """Take in that a node's backend server takes no new work.
+
+    Gossip tells the same a little later.
+
+    :param tables: the node's tables.
+    :param node_id: the node.
+    :param now_ms: the present time.
+    """
+    target = tables.members.targets.get(node_id)
+    if target is not None:
+        target.refusing_until_ms = now_ms + REFUSING_MS
+
+
 def note_load(tables, node_id, load, limit, now_ms):
     """Take in the load that rode on an answer.
 
@@ -103,10 +118,14 @@
 
 
 def _candidates(table, service, tried, now_ms):
-    node_ids = table.by_service.get(service, ())
+    node_ids = []
+    for node_id in table.by_service.get(service, ()):
+        target = table.targets.get(node_id)
+        if target is None or target.refusing_until_ms <= now_ms:
+            node_ids.append(node_id)
     fresh = [node_id for node_id in node_ids if node_id not in tried]
     # With every candidate tried, another try of one of them beats none.
-    usable = fresh or list(node_ids)
+    usable = fresh or node_ids
     healthy = []
     for node_id in usable:
         target = table.targets.get(node_id)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -50,6 +50,7 @@
     :param limit: its concurrency limit at that answer.
     :param failures: failures in a row.
     :param ejected_until_ms: it is passed over until then.
+    :param refusing_until_ms: it said that it takes no new work.
     :param ejections: how often it was ejected without success between.
     """
 
@@ -61,6 +62,7 @@
     failures: int = 0
     ejected_until_ms: float = float("-inf")
     ejections: int = 0
+    refusing_until_ms: float = float("-inf")
 
 
 @dataclasses.dataclass
