Estimate a run's time by its priority, and evict the hopeless at once

Cause: under a surge the front tier's smoothed latency rose towards the deadline, since its less important runs waited at the deep tier; the estimate then refused important work too (19 of 795 with code 2102, all at the front). Less important work that could no longer end in time waited for its deadline.

Ruled out: the rate (four times the demand), the retry budget, the deep tier's limit (stayed at its 20 slots).

Change: a latency estimate for each priority; when a new run comes, queued ones that can't end in time any more get their refusal at once.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 
 from benchmarks import report
 
-NAMES = ("two_hops",)
+NAMES = ("two_hops", "policy")
 
 
 def main():
--- /dev/null
+++ b/benchmarks/policy.py
@@ -0,0 +1,459 @@
+"""The policy under overload, in simulated time, against simpler policies.
+
+Both deployments of the brief run the same scenarios over the real tables and
+systems. ``fescueyard`` is the policy as it is; ``none`` lets everything
+through; ``fixed`` has a fixed concurrency limit and a first-come queue;
+``fifo`` has the adaptive limit and a first-come queue.
+"""
+
+import concurrent.futures
+import contextlib
+import dataclasses
+import unittest.mock
+
+from benchmarks import report
+from fescueyard.admission import limiter
+from fescueyard.admission import queueing
+from fescueyard.admission import systems as admission
+from tests import setups
+from tests import world as worlds
+
+SEED = 11
+DEADLINE_MS = 1_000
+DEEP_MS = 100.0
+FRONT_MS = 5.0
+WARM_UP_MS = 2_000
+SURGE_MS = 3_000
+AFTER_MS = 4_000
+WINDOW_MS = 100
+POLICIES = ("fescueyard", "none", "fixed", "fifo")
+SCENARIOS = (
+    "capacity",
+    "surge",
+    "slow_service",
+    "greedy_customer",
+    "hard_retries",
+    "crash",
+    "firm_peak",
+)
+PRIORITIES = (1, 3, 3, 3, 6, 6)
+GOODPUT_SHARE_MIN = 0.95
+RECOVERY_MS_MAX = 2_000
+WORST_SERVED_MIN = 0.95
+REFUSED_WITHIN_RATE_MAX = 0.001
+
+
+@dataclasses.dataclass(frozen=True)
+class Deployment:
+    """One of the brief's two deployments.
+
+    :param servers: backend servers of each service.
+    :param slots: slots of a backend server of the deep service.
+    """
+
+    name: str
+    zones: tuple
+    one_way_ms: float
+    servers: int
+    slots: int
+
+    def capacity_per_s(self):
+        """Say how many calls a second the deep service can run.
+
+        :returns: calls a second.
+        """
+        return self.servers * self.slots / DEEP_MS * 1000
+
+
+DEPLOYMENTS = (
+    Deployment("board", ("zone-a", "zone-b", "zone-c"), 0.5, 4, 20),
+    Deployment(
+        "limewash", ("zone-a", "zone-b", "zone-c", "zone-d"), 1.5, 4, 30
+    ),
+)
+# Two large customers and six small ones; the first half is the first firm's.
+WEIGHTS = (6, 2, 2, 1, 5, 2, 1, 1)
+CUSTOMERS = tuple(f"c{number}" for number in range(8))
+
+
+@dataclasses.dataclass
+class Outcome:
+    """What a scenario came to.
+
+    :param goodput_per_s: whole answers a second during the disturbance.
+    :param recovery_ms: from its end until 95 in 100 calls are answered.
+    :param worst_served: share of its calls that the worst-served customer
+        got answered, of those that kept to their rate, after the warm-up.
+    :param refused_within_rate: share of such customers' calls refused.
+    :param important_lost: important calls not answered in the disturbance
+        while less important ones were.
+    """
+
+    goodput_per_s: float
+    recovery_ms: float
+    worst_served: float
+    refused_within_rate: float
+    important_lost: float
+
+
+@dataclasses.dataclass
+class _Call:
+    customer: int
+    priority: int
+    told: worlds.Answered
+    tries: list
+
+    def is_good(self):
+        """Say whether the caller got a whole answer, at some try."""
+        return any(
+            row.answer is not None and row.answer.status == 200
+            for row in self.tries
+        )
+
+
+class _Run:
+    """One scenario under one policy."""
+
+    def __init__(self, deployment, scenario):
+        self.deployment = deployment
+        self.scenario = scenario
+        self.capacity = deployment.capacity_per_s()
+        self.calls = []
+        self.world = self._build()
+        self.random = self.world.random
+        self.begin_ms = self.world.now_ms + WARM_UP_MS
+        self.end_ms = self.begin_ms + SURGE_MS
+
+    def _build(self):
+        deployment = self.deployment
+        world = worlds.World(SEED, one_way_ms=deployment.one_way_ms)
+        setups.put(
+            world, "profile", "standard", deadline_default_ms=DEADLINE_MS
+        )
+        for service in ("front", "deep"):
+            setups.put(world, "service", service, profile="standard")
+        for firm in ("firm-0", "firm-1"):
+            setups.put(world, "firm", firm)
+        for index, customer in enumerate(CUSTOMERS):
+            rate_per_s = self._rate_per_s(index)
+            setups.put(
+                world,
+                "customer",
+                customer,
+                firm=f"firm-{index // 4}",
+                rate_per_s=rate_per_s,
+                burst=int(rate_per_s),
+                share=WEIGHTS[index],
+            )
+            setups.grant(world, customer)
+        for number in range(deployment.servers):
+            zone = deployment.zones[number % len(deployment.zones)]
+            front = world.add_node(
+                f"front-{number}", zone, "front", 400, FRONT_MS
+            )
+            deep = world.add_node(
+                f"deep-{number}", zone, "deep", deployment.slots, DEEP_MS
+            )
+            front.backend.jitter = deep.backend.jitter = 0.5
+        world.run(6_000)
+        return world
+
+    def _rate_per_s(self, index):
+        share = WEIGHTS[index] / sum(WEIGHTS)
+        # Where the rate is not the matter, it is far above the demand.
+        head_room = 0.9 if self.scenario == "greedy_customer" else 4.0
+        return share * self.capacity * head_room
+
+    def demand_per_s(self, index, now_ms):
+        """Say how many calls a second a customer sends."""
+        share = WEIGHTS[index] / sum(WEIGHTS)
+        base = 0.7 * share * self.capacity
+        if not self.begin_ms <= now_ms < self.end_ms:
+            return base
+        if self.scenario == "capacity":
+            return base / 0.7
+        if self.scenario in ("surge", "hard_retries"):
+            return 2.0 * base / 0.7
+        if self.scenario == "greedy_customer":
+            if index == 0:
+                return 5 * self._rate_per_s(index)
+            return 0.9 * self._rate_per_s(index)
+        if self.scenario == "firm_peak" and index < 4:
+            return 4.0 * base
+        return base
+
+    def run(self):
+        """Run the scenario.
+
+        :returns: :class:`Outcome`.
+        """
+        for index in range(len(CUSTOMERS)):
+            self._send_next(index)
+        self.world.later(WARM_UP_MS, self._begin)
+        self.world.later(WARM_UP_MS + SURGE_MS, self._end)
+        self.world.run(WARM_UP_MS + SURGE_MS + AFTER_MS)
+        return self._judge()
+
+    def _send_next(self, index):
+        rate_per_s = self.demand_per_s(index, self.world.now_ms)
+        delay_ms = self.random.expovariate(rate_per_s / 1000)
+
+        def send():
+            self._send(index)
+            self._send_next(index)
+
+        self.world.later(delay_ms, send)
+
+    def _send(self, index):
+        priority = self.random.choice(PRIORITIES)
+        call = _Call(index, priority, None, [])
+        self.calls.append(call)
+        self._try(call)
+        call.told = call.tries[0]
+
+    def _try(self, call):
+        names = [name for name in self.world.nodes if "front" in name]
+        told = self.world.call(
+            self.random.choice(names),
+            f"/front/call/deep/work?id={len(self.calls)}",
+            setups.KEYS[CUSTOMERS[call.customer]],
+            fescueyard_priority=str(call.priority),
+        )
+        call.tries.append(told)
+        if self.scenario == "hard_retries" and len(call.tries) < 4:
+            self.world.later(60, lambda: self._retry(call, told))
+
+    def _retry(self, call, told):
+        if told.answer is None:
+            self.world.later(60, lambda: self._retry(call, told))
+        elif told.answer.status >= 500:
+            self._try(call)
+
+    def _begin(self):
+        deep = [n for n in self.world.nodes.values() if "deep" in n.name]
+        if self.scenario == "slow_service":
+            for node in deep:
+                node.backend.slowdown = 4.0
+        elif self.scenario == "crash":
+            self.world.kill(deep[0].name)
+
+    def _end(self):
+        if self.scenario == "slow_service":
+            for node in self.world.nodes.values():
+                node.backend and setattr(node.backend, "slowdown", 1.0)
+        elif self.scenario == "crash":
+            zone = self.deployment.zones[0]
+            self.world.add_node(
+                "deep-new", zone, "deep", self.deployment.slots, DEEP_MS
+            )
+
+    def _judge(self):
+        during = self._between(self.begin_ms, self.end_ms)
+        good = sum(call.is_good() for call in during)
+        return Outcome(
+            good / (SURGE_MS / 1000),
+            self._recovery_ms(),
+            self._worst_served(),
+            self._refused_within_rate(),
+            _important_lost(during),
+        )
+
+    def _between(self, start_ms, end_ms):
+        return [
+            call
+            for call in self.calls
+            if start_ms <= call.told.started_at_ms < end_ms
+        ]
+
+    def _recovery_ms(self):
+        last_bad_ms = 0
+        for start_ms in range(0, AFTER_MS - DEADLINE_MS, WINDOW_MS):
+            begin_ms = self.end_ms + start_ms
+            calls = self._between(begin_ms, begin_ms + WINDOW_MS)
+            good = sum(call.is_good() for call in calls)
+            if calls and good < 0.95 * len(calls):
+                last_bad_ms = start_ms + WINDOW_MS
+        return last_bad_ms
+
+    def _keeps_to_rate(self, index):
+        if self.scenario == "greedy_customer":
+            return index != 0
+        return True
+
+    def _judged_calls(self, index):
+        calls = self._between(
+            self.begin_ms, self.end_ms + AFTER_MS - DEADLINE_MS
+        )
+        return [call for call in calls if call.customer == index]
+
+    def _worst_served(self):
+        worst = 1.0
+        for index in range(len(CUSTOMERS)):
+            calls = self._judged_calls(index)
+            if calls and self._keeps_to_rate(index):
+                good = sum(call.is_good() for call in calls)
+                worst = min(worst, good / len(calls))
+        return worst
+
+    def _refused_within_rate(self):
+        refused = total = 0
+        for index in range(len(CUSTOMERS)):
+            if not self._keeps_to_rate(index):
+                continue
+            for call in self._judged_calls(index):
+                total += 1
+                answer = call.told.answer
+                refused += answer is None or answer.status in (429, 503)
+        return refused / max(1, total)
+
+
+def _important_lost(calls):
+    """Count important calls lost while less important ones were served."""
+    important = [call for call in calls if call.priority == 1]
+    lesser = [call for call in calls if call.priority == 6]
+    if not any(call.is_good() for call in lesser):
+        return 0.0
+    lost = sum(not call.is_good() for call in important)
+    return lost / max(1, len(important))
+
+
+@contextlib.contextmanager
+def _policy(name):
+    """Put a simpler policy in place of parts of the real one."""
+    patches = []
+
+    def patch(module, attribute, function):
+        patches.append(unittest.mock.patch.object(module, attribute, function))
+
+    def first_come(table, may_run):
+        queued = [row for row in table.rows.values() if row.queued]
+        return min(queued, key=lambda row: row.run_id, default=None)
+
+    def never_bound(tables, row, now_ms):
+        return None
+
+    if name in ("none", "fixed", "fifo"):
+        patch(queueing, "next_to_start", first_come)
+        patch(admission, "_bound_queue", never_bound)
+    if name == "none":
+        patch(limiter, "may_start", lambda row, running: True)
+    if name == "fixed":
+        patch(limiter, "note_end", lambda *arguments: None)
+    with contextlib.ExitStack() as stack:
+        for each in patches:
+            stack.enter_context(each)
+        yield
+
+
+def run_one(deployment, scenario, policy):
+    """Run one scenario under one policy.
+
+    :param deployment: :class:`Deployment`.
+    :param scenario: one of :data:`SCENARIOS`.
+    :param policy: one of :data:`POLICIES`.
+    :returns: :class:`Outcome`.
+    """
+    with _policy(policy):
+        return _Run(deployment, scenario).run()
+
+
+def run_all(policies=POLICIES):
+    """Run every scenario in both deployments.
+
+    :param policies: names of policies.
+    :returns: outcomes by deployment name, scenario and policy.
+    """
+    jobs = {}
+    with concurrent.futures.ProcessPoolExecutor(max_workers=7) as pool:
+        for deployment in DEPLOYMENTS:
+            for scenario in SCENARIOS:
+                for policy in policies:
+                    key = (deployment.name, scenario, policy)
+                    jobs[key] = pool.submit(
+                        run_one, deployment, scenario, policy
+                    )
+        return {key: job.result() for key, job in jobs.items()}
+
+
+def show(outcomes):
+    """Print all outcomes as a Markdown table."""
+    print(
+        "| deployment | scenario | policy | goodput /s | recovery ms "
+        "| worst served | refused within rate | important lost |"
+    )
+    print("|---|---|---|---|---|---|---|---|")
+    for (deployment, scenario, policy), row in outcomes.items():
+        print(
+            f"| {deployment} | {scenario} | {policy} "
+            f"| {row.goodput_per_s:.0f} | {row.recovery_ms:.0f} "
+            f"| {row.worst_served:.3f} | {row.refused_within_rate:.4f} "
+            f"| {row.important_lost:.4f} |"
+        )
+    print()
+
+
+def measure():
+    """Run the benchmark.
+
+    :returns: list of :class:`~benchmarks.report.Row`.
+    """
+    outcomes = run_all()
+    show(outcomes)
+    rows = []
+    for deployment in DEPLOYMENTS:
+        rows += _bounds(deployment.name, outcomes)
+    return rows
+
+
+def _bounds(name, outcomes):
+    def ours(scenario):
+        return outcomes[name, scenario, "fescueyard"]
+
+    at_capacity = ours("capacity").goodput_per_s
+    rows = []
+    for scenario in ("surge", "hard_retries"):
+        share = ours(scenario).goodput_per_s / at_capacity
+        rows.append(
+            report.Row(
+                f"{name}, {scenario}: goodput over that at capacity",
+                share,
+                "ratio",
+                least=GOODPUT_SHARE_MIN,
+            )
+        )
+    for scenario in SCENARIOS[1:]:
+        rows.append(
+            report.Row(
+                f"{name}, {scenario}: recovery",
+                ours(scenario).recovery_ms,
+                "ms",
+                most=RECOVERY_MS_MAX,
+            )
+        )
+    greedy = ours("greedy_customer")
+    rows.append(
+        report.Row(
+            f"{name}, greedy_customer: worst-served within its rate",
+            greedy.worst_served,
+            "ratio",
+            least=WORST_SERVED_MIN,
+        )
+    )
+    rows.append(
+        report.Row(
+            f"{name}, greedy_customer: refused within rate",
+            greedy.refused_within_rate,
+            "ratio",
+            most=REFUSED_WITHIN_RATE_MAX,
+        )
+    )
+    for scenario in ("surge", "slow_service", "firm_peak"):
+        rows.append(
+            report.Row(
+                f"{name}, {scenario}: important lost before lesser",
+                ours(scenario).important_lost,
+                "ratio",
+                most=0.0,
+            )
+        )
+    return rows
--- a/fescueyard/admission/limiter.py
+++ b/fescueyard/admission/limiter.py
@@ -23,17 +23,23 @@
     row.limit = float(slots)
     row.short_ms = 0.0
     row.long_ms = 0.0
+    row.by_priority_ms.clear()
 
 
-def note_end(row, latency_ms, running, slots, profile):
+def note_end(row, priority, latency_ms, running, slots, profile):
     """Take in the end of a run.
 
     :param row: :class:`~fescueyard.admission.models.LimiterRow`.
+    :param priority: priority of the run.
     :param latency_ms: time at the backend server.
     :param running: requests that ran at the time, this one included.
     :param slots: requests the backend server runs at once.
     :param profile: :class:`~fescueyard.configuration.models.Profile`.
     """
+    known_ms = row.by_priority_ms.get(priority, latency_ms)
+    row.by_priority_ms[priority] = known_ms + SHORT_WEIGHT * (
+        latency_ms - known_ms
+    )
     if not row.long_ms:
         row.short_ms = row.long_ms = max(latency_ms, 0.1)
         return
@@ -63,6 +69,17 @@
     return running < int(row.limit)
 
 
+def service_ms(row, priority):
+    """Estimate how long a request runs once it has started.
+
+    :param row: :class:`~fescueyard.admission.models.LimiterRow`.
+    :param priority: its priority.
+    :returns: ms; 0 while nothing is known.
+    """
+    usual_ms = min(row.short_ms, row.long_ms)
+    return row.by_priority_ms.get(priority, usual_ms)
+
+
 def wait_ms(row, ahead):
     """Estimate how long a request waits until it starts.
 
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -58,11 +58,14 @@
     :param limit: requests that may run at once.
     :param short_ms: latency of late, smoothed over a few answers.
     :param long_ms: usual latency, smoothed over many.
+    :param by_priority_ms: latency of late of each priority. Less important
+        runs may wait longer further down the chain.
     """
 
     limit: float = 1.0
     short_ms: float = 0.0
     long_ms: float = 0.0
+    by_priority_ms: dict[int, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -25,6 +25,8 @@
 RETRY_AFTER_MAX_MS = 10_000
 RETRY_AFTER_SPREAD = 1.0
 TOKEN_BITS = 128
+# A run is started while at least half of its usual time is left.
+TOO_LATE_SHARE = 0.5
 
 TOKEN_HEADER = "fescueyard-token"
 DEADLINE_HEADER = "fescueyard-deadline-ms"
@@ -278,15 +280,31 @@
     if row.run_id not in table.rows or row.started_at_ms is not None:
         return
     ahead = queueing.count_ahead(table, row.forward.priority) - 1
-    expected_ms = limiter.wait_ms(table.limiter, ahead)
-    expected_ms += table.limiter.short_ms
-    if now_ms + expected_ms > row.deadline_at_ms:
+    if not _can_end_in_time(tables, row, ahead, now_ms):
         _refuse(tables, row, codes.DEADLINE_UNREACHABLE, now_ms)
         return
     if table.queued_count > tables.own_profile().queue_max:
         victim = queueing.least_important(table)
         code = codes.OVERLOADED if victim is row else codes.EVICTED
         _refuse(tables, victim, code, now_ms)
+    _evict_hopeless(tables, now_ms)
+
+
+def _evict_hopeless(tables, now_ms):
+    """Refuse at once what more important work now keeps from its deadline."""
+    table = tables.runs
+    while table.queued_count:
+        victim = queueing.least_important(table)
+        if _can_end_in_time(tables, victim, table.queued_count - 1, now_ms):
+            return
+        _refuse(tables, victim, codes.EVICTED, now_ms)
+
+
+def _can_end_in_time(tables, row, ahead, now_ms):
+    limit = tables.runs.limiter
+    expected_ms = limiter.wait_ms(limit, ahead)
+    expected_ms += limiter.service_ms(limit, row.forward.priority)
+    return now_ms + expected_ms <= row.deadline_at_ms
 
 
 def _start_what_may(tables, now_ms):
@@ -301,13 +319,18 @@
             _refuse(tables, row, codes.QUARANTINED, now_ms)
         elif _key_is_withdrawn(tables, row.forward):
             _refuse(tables, row, codes.KEY_REFUSED, now_ms)
-        elif now_ms + table.limiter.short_ms / 2 > row.deadline_at_ms:
+        elif _is_too_late(table, row, now_ms):
             # Work that can't end in time would be wasted.
             _refuse(tables, row, codes.DEADLINE_NOT_RUN, now_ms)
         else:
             _start(tables, row, now_ms)
 
 
+def _is_too_late(table, row, now_ms):
+    usual_ms = limiter.service_ms(table.limiter, row.forward.priority)
+    return now_ms + TOO_LATE_SHARE * usual_ms > row.deadline_at_ms
+
+
 def _may_run_now(tables, row):
     """Say whether a queued run may start beside those that run.
 
@@ -370,6 +393,7 @@
     queueing.charge(tables, row, latency_ms)
     limiter.note_end(
         table.limiter,
+        row.forward.priority,
         latency_ms,
         len(table.running),
         table.backend.slots,
--- a/tests/world.py
+++ b/tests/world.py
@@ -64,6 +64,7 @@
     at_ms: float
     ended_at_ms: float | None = None
     cancelled: bool = False
+    has_slot: bool = False
 
 
 class Stream:
@@ -91,6 +92,7 @@
         self.service_ms = service_ms
         self.slowdown = 1.0
         self.own_tries = 1
+        self.jitter = 0.0
         self.announces = True
         self.up = True
         self.running = 0
@@ -327,7 +329,8 @@
             run = node.runs.pop(effect.run_id, None)
             if run is not None:
                 run.cancelled = True
-                self._free_slot(node)
+                if run.has_slot:
+                    self._free_slot(node)
         elif isinstance(effect, effects.DropStream):
             stream = self._streams.get((node.name, effect.address))
             if stream is not None:
@@ -362,13 +365,14 @@
         run = Run(node.name, effect.request, self.now_ms)
         self.runs.append(run)
         node.runs[effect.run_id] = run
-        backend.running += 1
-        if backend.running > backend.slots:
+        if backend.running >= backend.slots:
             backend.waiting.append((effect.run_id, run))
             return
+        backend.running += 1
         self._work(node, effect.run_id, run)
 
     def _work(self, node, run_id, run):
+        run.has_slot = True
         split = urllib.parse.urlsplit(run.request.target)
         query = dict(urllib.parse.parse_qsl(split.query))
         backend = node.backend
@@ -382,6 +386,10 @@
             return
         delay_ms = float(query.get("ms", backend.service_ms))
         delay_ms *= backend.slowdown
+        if backend.jitter:
+            delay_ms *= self.random.uniform(
+                1 - backend.jitter, 1 + backend.jitter
+            )
         if split.path.startswith("/call/"):
             target = split.path[len("/call") :]
             if split.query:
@@ -438,6 +446,7 @@
         while backend.waiting:
             run_id, run = backend.waiting.pop(0)
             if not run.cancelled:
+                backend.running += 1
                 self._work(node, run_id, run)
                 return
 
