Keep three quarters of the slots; measure both deployments and the slopes

Cause: a slow service (four times its time) made the adaptive limit shrink, and fewer requests at once made it no faster: goodput 205/s against 232/s with a fixed limit, 3.3 % of important calls lost.

Ruled out: the estimate for each priority (stayed right), the queue bound.

Change: the limit keeps at least concurrency_share_min (0.75) of the slots, a knob of the profile. The benchmark counts answers that came during the disturbance and judges the other firm in a firm's peak.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 
 from benchmarks import report
 
-NAMES = ("two_hops", "policy")
+NAMES = ("two_hops", "policy", "slopes")
 
 
 def main():
--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -249,7 +249,7 @@
 
     def _judge(self):
         during = self._between(self.begin_ms, self.end_ms)
-        good = sum(call.is_good() for call in during)
+        good = sum(self._is_good_during(call) for call in self.calls)
         return Outcome(
             good / (SURGE_MS / 1000),
             self._recovery_ms(),
@@ -258,6 +258,15 @@
             _important_lost(during),
         )
 
+    def _is_good_during(self, call):
+        """Say whether the whole answer came during the disturbance."""
+        return any(
+            row.answer is not None
+            and row.answer.status == 200
+            and self.begin_ms <= row.ended_at_ms < self.end_ms
+            for row in call.tries
+        )
+
     def _between(self, start_ms, end_ms):
         return [
             call
@@ -278,13 +287,24 @@
     def _keeps_to_rate(self, index):
         if self.scenario == "greedy_customer":
             return index != 0
+        if self.scenario == "firm_peak":
+            return index >= 4
         return True
 
     def _judged_calls(self, index):
         calls = self._between(
             self.begin_ms, self.end_ms + AFTER_MS - DEADLINE_MS
         )
-        return [call for call in calls if call.customer == index]
+        least = PRIORITIES[-1]
+        if self.scenario == "firm_peak":
+            # Priority goes before fairness, so the peak of one firm's more
+            # important work may take the least important work's place.
+            least = PRIORITIES[1]
+        return [
+            call
+            for call in calls
+            if call.customer == index and call.priority <= least
+        ]
 
     def _worst_served(self):
         worst = 1.0
@@ -392,6 +412,40 @@
     print()
 
 
+def plot(outcomes, path):
+    """Draw goodput and losses of each scenario and policy.
+
+    :param outcomes: what :func:`run_all` returned.
+    :param path: PNG file to write.
+    """
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(2, 2, figsize=(13, 7), sharex=True)
+    for column, deployment in enumerate(DEPLOYMENTS):
+        for place, policy in enumerate(POLICIES):
+            rows = [
+                outcomes[deployment.name, scenario, policy]
+                for scenario in SCENARIOS
+            ]
+            spots = [spot + 0.2 * place for spot in range(len(rows))]
+            top, bottom = axes[0][column], axes[1][column]
+            goodput = [row.goodput_per_s for row in rows]
+            lost = [100 * row.important_lost for row in rows]
+            top.bar(spots, goodput, 0.18, label=policy)
+            bottom.bar(spots, lost, 0.18, label=policy)
+        top.set_title(deployment.name)
+        top.axhline(deployment.capacity_per_s(), color="grey", linewidth=0.8)
+        bottom.set_xticks(range(len(SCENARIOS)), SCENARIOS, rotation=30)
+    axes[0][0].set_ylabel("whole answers a second")
+    axes[1][0].set_ylabel("important calls lost, %")
+    axes[0][0].legend()
+    figure.tight_layout()
+    figure.savefig(path, dpi=80)
+
+
 def measure():
     """Run the benchmark.
 
@@ -399,6 +453,7 @@
     """
     outcomes = run_all()
     show(outcomes)
+    plot(outcomes, "docs/internals/policy.png")
     rows = []
     for deployment in DEPLOYMENTS:
         rows += _bounds(deployment.name, outcomes)
@@ -447,6 +502,14 @@
             most=REFUSED_WITHIN_RATE_MAX,
         )
     )
+    rows.append(
+        report.Row(
+            f"{name}, firm_peak: worst-served of the other firm",
+            ours("firm_peak").worst_served,
+            "ratio",
+            least=WORST_SERVED_MIN,
+        )
+    )
     for scenario in ("surge", "slow_service", "firm_peak"):
         rows.append(
             report.Row(
--- a/benchmarks/two_hops.py
+++ b/benchmarks/two_hops.py
@@ -24,6 +24,9 @@
 WARM_UP_CALLS = 200
 ADDED_P99_MS_MAX = 1.6
 MEMORY_MB_MAX = 128
+IDLE_SETTLE_S = 10
+IDLE_S = 10
+IDLE_CPU_PERCENT_MAX = 1.6
 _TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
@@ -48,7 +51,7 @@
             server = fleet.add_node("zone-a", "orders", slots=200)
             fleet.configure("orders")
             fleet.await_ready("orders", fleet.keys["board"])
-            rows = []
+            rows = _idle_rows(entry, server)
             for rate_per_s in RATES_PER_S:
                 rows += _measure_rate(fleet, entry, server, rate_per_s)
             rows += _memory_rows(entry, server)
@@ -90,6 +93,24 @@
     ]
 
 
+def _idle_rows(entry, server):
+    time.sleep(IDLE_SETTLE_S)
+    rows = []
+    for name, node in (("entry", entry), ("server", server)):
+        before_s = _cpu_s(node)
+        time.sleep(IDLE_S)
+        percent = 100 * (_cpu_s(node) - before_s) / IDLE_S
+        rows.append(
+            report.Row(
+                f"idle {name} node: CPU",
+                percent,
+                "% of a core",
+                IDLE_CPU_PERCENT_MAX,
+            )
+        )
+    return rows
+
+
 def _memory_rows(entry, server):
     rows = []
     for name, node in (("entry", entry), ("server", server)):
--- a/fescueyard/admission/limiter.py
+++ b/fescueyard/admission/limiter.py
@@ -55,7 +55,10 @@
         return
     wanted = row.limit * gradient + math.sqrt(row.limit)
     row.limit += LIMIT_WEIGHT * (wanted - row.limit)
-    lowest = min(profile.concurrency_min, slots)
+    lowest = max(
+        profile.concurrency_min, slots * profile.concurrency_share_min
+    )
+    lowest = min(slots, lowest)
     row.limit = min(float(slots), max(float(lowest), row.limit))
 
 
--- a/fescueyard/configuration/models.py
+++ b/fescueyard/configuration/models.py
@@ -45,6 +45,9 @@
     :param depth_max: most hops of a call chain.
     :param queue_max: most requests queued at one backend server.
     :param concurrency_min: lowest adaptive concurrency limit.
+    :param concurrency_share_min: lowest adaptive concurrency limit as a
+        share of the slots. A slow dependency looks like overload, and fewer
+        requests at once would not make it faster.
     :param latency_tolerance: ratio of measured to best latency at which the
         concurrency limit shrinks.
     :param slow_start_ms: time over which a new backend server's share of the
@@ -68,6 +71,7 @@
     depth_max: typing.Annotated[int, pydantic.Field(ge=1, le=64)] = 32
     queue_max: typing.Annotated[int, pydantic.Field(ge=1, le=10_000)] = 200
     concurrency_min: Positive = 2
+    concurrency_share_min: Ratio = 0.75
     latency_tolerance: typing.Annotated[
         float, pydantic.Field(ge=1.1, le=20)
     ] = 2.0
