--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 
 from benchmarks import report
 
-NAMES = ("two_hops", "policy", "slopes")
+NAMES = ("two_hops", "policy", "slopes", "pulls")
 
 
 def main():
--- /dev/null
+++ b/benchmarks/pulls.py
@@ -0,0 +1,84 @@
+"""Processor time of a real control process over pulls a second."""
+
+import asyncio
+import tempfile
+import time
+
+from benchmarks import slopes
+from benchmarks import two_hops
+from demo import fleet as fleets
+from fescueyard.configuration import messages
+from fescueyard.transport import streams
+
+RATES_PER_S = (200, 400, 800)
+SECONDS = 4
+STREAMS = 20
+# 2,900 nodes that pull every 0.6 s, over 11 control VMs.
+PULLS_PER_S_AT_SCALE = 440
+
+
+class _Puller:
+    """Sends pulls over many streams, as nodes do."""
+
+    def __init__(self, secret):
+        self.answers = 0
+        self.pools = [
+            streams.StreamPool(f"puller-{number}", secret, self)
+            for number in range(STREAMS)
+        ]
+
+    def message_received(self, stream, message):
+        """Count an answer."""
+        self.answers += 1
+
+    def message_unsent(self, address, message):
+        """Fail: the control process is there."""
+        raise RuntimeError(f"unsent to {address}")
+
+    def stream_lost(self, stream):
+        """Ignore the end of the run."""
+
+    async def run(self, address, rate_per_s):
+        """Send pulls at a rate."""
+        count = rate_per_s * SECONDS
+        start_s = time.monotonic()
+        for number in range(count):
+            due_s = start_s + number / rate_per_s
+            await asyncio.sleep(max(0, due_s - time.monotonic()))
+            ask = messages.ConfigurationAsk(number, "", 0)
+            self.pools[number % STREAMS].send(address, ask)
+        await asyncio.sleep(0.3)
+        for pool in self.pools:
+            pool.close()
+
+
+def measure():
+    """Run the benchmark.
+
+    :returns: list of :class:`~benchmarks.report.Row`.
+    """
+    points = []
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = fleets.Fleet(folder)
+        try:
+            control = fleet.add_control("zone-a")
+            fleet.configure("orders")
+            address = streams.parse_address(control.address)
+            for rate_per_s in RATES_PER_S:
+                puller = _Puller(fleet.secret)
+                before_s = two_hops.cpu_s(control)
+                asyncio.run(puller.run(address, rate_per_s))
+                used_s = two_hops.cpu_s(control) - before_s
+                if puller.answers < 0.99 * rate_per_s * SECONDS:
+                    raise RuntimeError(f"{puller.answers} answers only")
+                points.append((rate_per_s, 100 * used_s / SECONDS))
+        finally:
+            fleet.kill()
+    return [
+        slopes.line(
+            "control process: CPU over pulls a second",
+            points,
+            "% of a core",
+            PULLS_PER_S_AT_SCALE,
+        )
+    ]
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -61,7 +61,14 @@
     return mean_y - slope * mean_x, slope
 
 
-def _line(name, points, unit, scale, most=None):
+def line(name, points, unit, scale, most=None):
+    """Fit a line and read it off at full size.
+
+    :param points: pairs of size and value.
+    :param scale: the full size.
+    :param most: bound at full size; None for no bound.
+    :returns: :class:`~benchmarks.report.Row`.
+    """
     base, slope = _slope(points)
     shown = ", ".join(f"{size}: {value:.3g}" for size, value in points)
     at_scale = base + slope * scale
@@ -108,21 +115,21 @@
         cpu_points.append((count, 100 * used_s / count / (WATCH_MS / 1000)))
         memory_points.append((count, _member_bytes(world)))
     return [
-        _line(
+        line(
             "idle node: bytes sent for control",
             byte_points,
             "B/s",
             FLEET,
             CONTROL_BYTES_PER_S_MAX,
         ),
-        _line(
+        line(
             "idle node: CPU for control, stand-ins included",
             cpu_points,
             "% of a core",
             FLEET,
             CONTROL_CPU_PERCENT_MAX,
         ),
-        _line("member table", memory_points, "bytes", FLEET),
+        line("member table", memory_points, "bytes", FLEET),
     ]
 
 
@@ -163,9 +170,9 @@
         snapshot.append((count, len(states.dump_state(state))))
         change.append((count, _change_us(state)))
     return [
-        _line("configuration: memory", memory, "bytes", 10_000),
-        _line("configuration: snapshot", snapshot, "bytes", 10_000),
-        _line("configuration: apply a change", change, "us", 10_000),
+        line("configuration: memory", memory, "bytes", 10_000),
+        line("configuration: snapshot", snapshot, "bytes", 10_000),
+        line("configuration: apply a change", change, "us", 10_000),
     ]
 
 
@@ -211,7 +218,7 @@
             wire.encode(told)
         used_us = (time.perf_counter() - started_s) / times * 1e6
         points.append((changes, used_us))
-    return [_line("control: one pull, codec included", points, "us", 1)]
+    return [line("control: one pull, codec included", points, "us", 1)]
 
 
 def _tokens():
@@ -235,7 +242,7 @@
             wire.encode(told)
         used_us = (time.perf_counter() - started_s) / times * 1e6
         points.append((count, used_us))
-    return [_line("fleet grantor: one question", points, "us", 125)]
+    return [line("fleet grantor: one question", points, "us", 125)]
 
 
 def _claims():
@@ -256,5 +263,5 @@
 
         points.append((count, _memory_bytes(build)))
     return [
-        _line("claim replica: memory, answers apart", points, "bytes", 60_000)
+        line("claim replica: memory, answers apart", points, "bytes", 60_000)
     ]
--- a/benchmarks/two_hops.py
+++ b/benchmarks/two_hops.py
@@ -69,13 +69,13 @@
     asyncio.run(load.run(rate_per_s, WARM_UP_CALLS))
     p50s = []
     p99s = []
-    before_s = _cpu_s(entry) + _cpu_s(server)
+    before_s = cpu_s(entry) + cpu_s(server)
     count = rate_per_s * SECONDS
     for _ in range(REPEATS):
         run = asyncio.run(load.run(rate_per_s, count))
         p50s.append(_quantile(run.through, 50) - _quantile(run.straight, 50))
         p99s.append(_quantile(run.through, 99) - _quantile(run.straight, 99))
-    used_s = _cpu_s(entry) + _cpu_s(server) - before_s
+    used_s = cpu_s(entry) + cpu_s(server) - before_s
     per_1000 = used_s / (count * REPEATS) * 1000
     name = f"two hops, {rate_per_s} calls/s"
     spread = f"runs {', '.join(f'{value:.2f}' for value in p99s)}"
@@ -97,9 +97,9 @@
     time.sleep(IDLE_SETTLE_S)
     rows = []
     for name, node in (("entry", entry), ("server", server)):
-        before_s = _cpu_s(node)
+        before_s = cpu_s(node)
         time.sleep(IDLE_S)
-        percent = 100 * (_cpu_s(node) - before_s) / IDLE_S
+        percent = 100 * (cpu_s(node) - before_s) / IDLE_S
         rows.append(
             report.Row(
                 f"idle {name} node: CPU",
@@ -176,7 +176,12 @@
     return ordered[min(len(ordered) - 1, len(ordered) * percent // 100)]
 
 
-def _cpu_s(node):
+def cpu_s(node):
+    """Read the processor time of a process.
+
+    :param node: a node or control of :mod:`demo.fleet`.
+    :returns: seconds.
+    """
     with open(f"/proc/{node.process.pid}/stat", encoding="ascii") as file:
         fields = file.read().rpartition(")")[2].split()
     return (int(fields[11]) + int(fields[12])) / _TICKS_PER_S
--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -76,7 +76,8 @@
             operators.token_line("demo", self.token) + "\n"
         )
         self._environment = dict(os.environ)
-        self._environment["FESCUEYARD_CLUSTER_SECRET"] = "s" * 32
+        self.secret = secrets.token_hex(16).encode()
+        self._environment["FESCUEYARD_CLUSTER_SECRET"] = self.secret.decode()
 
     def add_control(self, zone, join=False, dial=None):
         """Start a control process; the first one starts the cluster.
--- /dev/null
+++ b/fescueyard/management/commands/settings_table.py
@@ -0,0 +1,63 @@
+"""``fescueyard settings_table``: prints the table of settings."""
+
+import dataclasses
+import re
+
+from fescueyard.conf import defaults
+from fescueyard.conf import settings
+
+_CLASSES = (
+    ("node", settings.NodeSettings),
+    ("control, control_init", settings.ControlSettings),
+    ("ctl, dump", settings.OperatorSettings),
+)
+_PARAMETER = re.compile(r":param (\w+): (.*?)(?=:param |\Z)", re.DOTALL)
+
+
+def run():
+    """Print the tables of settings in Markdown."""
+    print(render(), end="")
+
+
+def render():
+    """Write the tables of settings.
+
+    :returns: Markdown text.
+    """
+    lines = [
+        "# Settings",
+        "",
+        "Made by `fescueyard settings_table`. A flag `--name=value` goes "
+        "before its environment variable. Lists are separated by commas.",
+    ]
+    for command, cls in _CLASSES:
+        lines += ["", f"## {command}", ""]
+        lines += ["| flag | environment variable | default | meaning |"]
+        lines += ["|---|---|---|---|"]
+        lines += [_row(cls, field) for field in dataclasses.fields(cls)]
+    return "\n".join(lines) + "\n"
+
+
+def _row(cls, field):
+    variable = defaults.ENVIRONMENT_PREFIX + field.name.upper()
+    flag = f"`--{field.name}`"
+    if field.name in settings.SECRET_FIELDS:
+        flag = "none: secrets are never flags"
+    meaning = _meanings(cls).get(field.name, "")
+    return f"| {flag} | `{variable}` | {_default(field)} | {meaning} |"
+
+
+def _default(field):
+    if field.default is not dataclasses.MISSING:
+        return f"`{field.default!r}`"
+    if field.default_factory is not dataclasses.MISSING:
+        return "none"
+    return "required"
+
+
+def _meanings(cls):
+    found = {}
+    for each in reversed(cls.__mro__):
+        for name, text in _PARAMETER.findall(each.__doc__ or ""):
+            found[name] = " ".join(text.split())
+    return found
--- a/fescueyard/management/main.py
+++ b/fescueyard/management/main.py
@@ -15,6 +15,7 @@
 from fescueyard.management.commands import dump
 from fescueyard.management.commands import node
 from fescueyard.management.commands import operator_token
+from fescueyard.management.commands import settings_table
 
 COMMANDS = {
     "check": check.run,
@@ -25,6 +26,7 @@
     "dump": dump.run,
     "node": node.run,
     "operator_token": operator_token.run,
+    "settings_table": settings_table.run,
 }
 EXIT_ERROR = 1
 
