--- /dev/null
+++ b/tests/faults/test_borders.py
@@ -0,0 +1,217 @@
+"""Bad input at each border gets its numbered error, and the process goes
+on."""
+
+import json
+import socket
+
+import pytest
+
+from fescueyard.core import http
+from fescueyard.management import client
+
+
+def _raw(address, data):
+    """Send raw bytes and read until the connection closes."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as connection:
+        connection.sendall(data)
+        connection.shutdown(socket.SHUT_WR)
+        received = b""
+        while chunk := connection.recv(65536):
+            received += chunk
+    return received
+
+
+@pytest.mark.parametrize(
+    ("data", "status", "code"),
+    [
+        (b"nonsense\r\n\r\n", 400, 2000),
+        (b"GET / HTTP/9.9\r\n\r\n", 400, 2000),
+        (b"GET /a HTTP/1.1\r\nX: " + b"y" * 20_000 + b"\r\n\r\n", 431, 2001),
+        (b"GET /" + b"y" * 20_000 + b" HTTP/1.1\r\n\r\n", 431, 2001),
+        (
+            b"POST /orders/x HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n",
+            413,
+            2002,
+        ),
+        (
+            b"POST /orders/x HTTP/1.1\r\nContent-Length: ten\r\n\r\n",
+            400,
+            2000,
+        ),
+        (
+            b"POST /orders/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"zz\r\n",
+            400,
+            2000,
+        ),
+        (
+            b"GET /orders/x HTTP/1.1\r\nConnection: close\r\n"
+            b"Idempotency-Key: " + b"k" * 300 + b"\r\n\r\n",
+            401,
+            2005,
+        ),
+    ],
+)
+def test_bad_request_bytes(small_fleet, data, status, code):
+    answer = _raw(small_fleet.nodes[0].caller_address, data)
+    assert answer.startswith(b"HTTP/1.1 %d " % status), answer[:200]
+    body = answer.partition(b"\r\n\r\n")[2]
+    assert json.loads(body)["code"] == code
+    _still_serves(small_fleet)
+
+
+def test_body_that_ends_early_runs_nothing(small_fleet):
+    before = len(small_fleet.runs())
+    _raw(
+        small_fleet.nodes[0].caller_address,
+        b"POST /orders/work HTTP/1.1\r\nContent-Length: 10\r\n\r\nfive!",
+    )
+    assert len(small_fleet.runs()) == before
+    _still_serves(small_fleet)
+
+
+def test_pipelined_requests_are_answered_in_order(small_fleet):
+    key = small_fleet.keys["board"].encode()
+    data = b""
+    for number in range(5):
+        data += (
+            b"GET /orders/work?ms=%d&body=n%d HTTP/1.1\r\n"
+            b"Authorization: Bearer %s\r\n%s\r\n"
+            % (
+                50 - 10 * number,
+                number,
+                key,
+                b"Connection: close\r\n" if number == 4 else b"",
+            )
+        )
+    host, _, port = small_fleet.nodes[0].caller_address.rpartition(":")
+    with socket.create_connection((host, int(port)), 5) as connection:
+        connection.sendall(data)
+        received = b""
+        while chunk := connection.recv(65536):
+            received += chunk
+    places = [received.index(b"\r\n\r\nn%d" % n) for n in range(5)]
+    assert places == sorted(places)
+
+
+@pytest.mark.parametrize(
+    ("body", "named"),
+    [
+        (b"{", "document"),
+        (b"[]", "document"),
+        (b'{"service": "orders"}', "address"),
+        (
+            b'{"service": "orders", "address": "10.0.0.1:1", "slots": 1}',
+            "address",
+        ),
+        (
+            b'{"service": "orders", "address": "127.0.0.1:1", "slots": 0}',
+            "slots",
+        ),
+        (
+            b'{"service": "O!", "address": "127.0.0.1:1", "slots": 1}',
+            "service",
+        ),
+        (
+            b'{"service": "o", "address": "127.0.0.1:1", "slots": 1, "x": 1}',
+            "x",
+        ),
+    ],
+)
+def test_bad_announcement(small_fleet, body, named):
+    url = f"http://{small_fleet.nodes[0].backend_address}/-/announce"
+    answer = client.fetch("POST", url, [], body, 5_000)
+    told = json.loads(answer.body)
+    assert (answer.status, told["code"]) == (400, 2000)
+    assert named in told["detail"]
+    _still_serves(small_fleet)
+
+
+def test_callers_do_not_reach_the_backend_listener_paths(small_fleet):
+    node = small_fleet.nodes[0]
+    answer = small_fleet.call(node, "/-/leave", method="POST")
+    assert answer.status == 404
+    _still_serves(small_fleet)
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "headers", "body", "status", "code"),
+    [
+        ("GET", "/v1/status", {"authorization": "Bearer x"}, b"", 401, 3002),
+        ("GET", "/v1/status", {"authorization": ""}, b"", 401, 3002),
+        ("GET", "/v1/nothing", {}, b"", 404, 3004),
+        ("GET", "/v1/objects/fleece", {}, b"", 400, 3001),
+        ("GET", "/v1/objects/profile/none", {}, b"", 404, 3004),
+        ("POST", "/v1/objects/profile/p", {}, b"{}", 400, 3001),
+        ("PUT", "/v1/objects/profile/P!", {}, b"{}", 400, 3001),
+        ("PUT", "/v1/objects/profile/p", {}, b"{", 400, 3001),
+        ("PUT", "/v1/objects/profile/p", {}, b'{"colour": 1}', 400, 3001),
+        (
+            "PUT",
+            "/v1/objects/profile/p",
+            {},
+            b'{"deadline_default_ms": 9000, "deadline_max_ms": 10}',
+            400,
+            3001,
+        ),
+        (
+            "PUT",
+            "/v1/objects/profile/p",
+            {"fescueyard-change-id": ""},
+            b"{}",
+            400,
+            3001,
+        ),
+        (
+            "PUT",
+            "/v1/objects/profile/p",
+            {"fescueyard-expected-version": "one"},
+            b"{}",
+            400,
+            3001,
+        ),
+        (
+            "PUT",
+            "/v1/objects/service/s",
+            {},
+            b'{"profile": "none"}',
+            409,
+            3009,
+        ),
+        ("PUT", "/v1/objects/claim_group/1", {}, b"{}", 400, 3001),
+        ("DELETE", "/v1/objects/profile/standard", {}, b"", 409, 3003),
+    ],
+)
+def test_bad_change(small_fleet, method, path, headers, body, status, code):
+    sent = {
+        "authorization": f"Bearer {small_fleet.token}",
+        "fescueyard-change-id": f"c-{method}{path}{body!r}"[:100],
+        "fescueyard-expected-version": "0",
+        **headers,
+    }
+    rows = [http.Header(name, value) for name, value in sent.items()]
+    url = f"http://{small_fleet.controls[0].admin_address}{path}"
+    answer = client.fetch(method, url, rows, body, 5_000)
+    assert (answer.status, json.loads(answer.body)["code"]) == (status, code)
+
+
+def test_object_still_referred_to_is_not_retired(small_fleet):
+    with pytest.raises(client.Refused) as caught:
+        small_fleet.retire("profile", "standard")
+    assert caught.value.code.number == 3005
+
+
+def test_garbage_on_stream_and_datagram_ports(small_fleet):
+    node = small_fleet.nodes[0]
+    host, _, port = node.address.rpartition(":")
+    for data in (b"\x00", b"\xff" * 4096, b"GET / HTTP/1.1\r\n\r\n"):
+        assert _raw(node.address, data) == b""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sender:
+            sender.sendto(data, (host, int(port)))
+    _still_serves(small_fleet)
+
+
+def _still_serves(fleet):
+    answer = fleet.call(fleet.nodes[0], "/orders/work", fleet.keys["board"])
+    assert answer.status == 200
