--- /dev/null
+++ b/fescueyard/consensus/__init__.py
@@ -0,0 +1,1 @@
+"""Agreement of the control members on one log."""
--- /dev/null
+++ b/fescueyard/consensus/elections.py
@@ -0,0 +1,152 @@
+"""Elections: pre-votes, votes, handing the leadership over."""
+
+from fescueyard.consensus import dispatch
+from fescueyard.consensus import log
+from fescueyard.consensus import messages
+from fescueyard.consensus import models
+from fescueyard.consensus import replication
+from fescueyard.consensus import roles
+
+
+def hand_over(table, now_ms):
+    """Offer the leadership to the member that is furthest ahead.
+
+    The lease ends at once, since the next election won't wait for it.
+
+    :returns: whether there was a voter to offer it to.
+    """
+    if table.role is not models.Role.LEADER:
+        return False
+    best_id = None
+    for member in table.members:
+        if not member.voter or member.member_id == table.member_id:
+            continue
+        matched = table.progress[member.member_id].match_index
+        if best_id is None or matched > table.progress[best_id].match_index:
+            best_id = member.member_id
+    if best_id is None:
+        return False
+    table.handing_over_at_ms = now_ms
+    log.send(table, best_id, messages.LeadershipOffer(table.vote.term))
+    return True
+
+
+@dispatch.receive.register
+def _receive_vote_ask(message: messages.VoteAsk, table, sender_id, now_ms):
+    if not message.transfer and _hears_leader(table, now_ms):
+        return
+    if not message.pre_vote:
+        roles.see_term(table, message.term, now_ms)
+    granted = _would_vote(table, message, sender_id)
+    if granted and not message.pre_vote:
+        table.vote = models.Vote(table.vote.term, sender_id)
+        table.vote_changed = True
+        roles.schedule_election(table, now_ms)
+    term = message.term if granted else table.vote.term
+    answer = messages.VoteAnswer(term, message.pre_vote, granted)
+    log.send(table, sender_id, answer)
+
+
+@dispatch.receive.register
+def _receive_vote_answer(
+    message: messages.VoteAnswer, table, sender_id, now_ms
+):
+    if not message.granted:
+        roles.see_term(table, message.term, now_ms)
+        return
+    if not log.is_voter(table, sender_id):
+        return
+    if message.pre_vote:
+        if table.role is not models.Role.PRE_CANDIDATE:
+            return
+        if message.term != table.vote.term + 1:
+            return
+        table.votes.add(sender_id)
+        if log.is_majority(table, table.votes):
+            _start_election(table, now_ms, transfer=False)
+        return
+    if table.role is not models.Role.CANDIDATE:
+        return
+    if message.term != table.vote.term:
+        return
+    table.votes.add(sender_id)
+    if log.is_majority(table, table.votes):
+        _become_leader(table, now_ms)
+
+
+@dispatch.receive.register
+def _receive_leadership_offer(
+    message: messages.LeadershipOffer, table, sender_id, now_ms
+):
+    if message.term != table.vote.term or sender_id != table.leader_id:
+        return
+    if log.is_voter(table, table.member_id):
+        _start_election(table, now_ms, transfer=True)
+
+
+def _hears_leader(table, now_ms):
+    if table.role is models.Role.LEADER:
+        return table.handing_over_at_ms is None
+    return now_ms - table.heard_leader_at_ms < roles.ELECTION_TIMEOUT_MIN_MS
+
+
+def _would_vote(table, message, sender_id):
+    if message.term < table.vote.term:
+        return False
+    if message.pre_vote:
+        if message.term == table.vote.term:
+            return False
+    elif table.vote.voted_for not in ("", sender_id):
+        return False
+    own = (log.term_at(table, log.last_index(table)), log.last_index(table))
+    return (message.last_term, message.last_index) >= own
+
+
+def start_pre_vote(table, now_ms):
+    """Ask whether the others would vote, before disturbing them.
+
+    :param now_ms: the present time.
+    """
+    table.role = models.Role.PRE_CANDIDATE
+    table.leader_id = ""
+    table.votes = {table.member_id}
+    if log.is_majority(table, table.votes):
+        _start_election(table, now_ms, transfer=False)
+        return
+    _ask_votes(table, table.vote.term + 1, pre_vote=True, transfer=False)
+
+
+def _start_election(table, now_ms, transfer):
+    table.role = models.Role.CANDIDATE
+    table.leader_id = ""
+    table.vote = models.Vote(table.vote.term + 1, table.member_id)
+    table.vote_changed = True
+    table.votes = {table.member_id}
+    roles.schedule_election(table, now_ms)
+    if log.is_majority(table, table.votes):
+        _become_leader(table, now_ms)
+        return
+    _ask_votes(table, table.vote.term, pre_vote=False, transfer=transfer)
+
+
+def _ask_votes(table, term, pre_vote, transfer):
+    index = log.last_index(table)
+    for member in table.members:
+        if member.voter and member.member_id != table.member_id:
+            ask = messages.VoteAsk(
+                term, index, log.term_at(table, index), pre_vote, transfer
+            )
+            log.send(table, member.member_id, ask)
+
+
+def _become_leader(table, now_ms):
+    table.role = models.Role.LEADER
+    table.leader_id = table.member_id
+    table.handing_over_at_ms = None
+    table.confirmed_at_ms = None
+    table.round_sent_at_ms.clear()
+    table.progress.clear()
+    table.leading_since_ms = now_ms
+    table.term_start_index = log.last_index(table) + 1
+    replication.track_progress(table)
+    replication.propose(table, models.EMPTY_ENTRY, b"", now_ms)
--- /dev/null
+++ b/fescueyard/consensus/lease.py
@@ -0,0 +1,60 @@
+"""The leader's lease: how long no other member can have been elected."""
+
+from fescueyard.consensus import log
+from fescueyard.consensus import models
+
+# Shorter than the shortest election timeout, so that the lease ends before
+# another member can be elected.
+LEASE_MS = 400
+
+
+def is_leader(table):
+    """Say whether this member leads and has not begun to hand over.
+
+    :returns: bool.
+    """
+    leads = table.role is models.Role.LEADER
+    return leads and table.handing_over_at_ms is None
+
+
+def confirmed_age_ms(table, now_ms):
+    """Say how long ago a majority confirmed this leader.
+
+    :returns: age in ms; infinite when this member is no confirmed leader,
+        or has not yet committed an entry of its own term.
+    """
+    if not is_leader(table) or table.confirmed_at_ms is None:
+        return float("inf")
+    if table.commit_index < table.term_start_index:
+        return float("inf")
+    return now_ms - table.confirmed_at_ms
+
+
+def holds_lease(table, now_ms):
+    """Say whether no other member can have been elected yet.
+
+    :returns: bool.
+    """
+    return confirmed_age_ms(table, now_ms) < LEASE_MS
+
+
+def confirm(table):
+    """Renew the lease from the latest round that a majority answered."""
+    confirmed = 0
+    rounds = {progress.acked_round for progress in table.progress.values()}
+    rounds.add(table.round_id)
+    for round_id in sorted(rounds, reverse=True):
+        answered = {table.member_id}
+        for member_id, progress in table.progress.items():
+            if progress.acked_round >= round_id:
+                answered.add(member_id)
+        if log.is_majority(table, answered):
+            confirmed = round_id
+            break
+    sent_at_ms = table.round_sent_at_ms.get(confirmed)
+    if sent_at_ms is None:
+        return
+    if table.confirmed_at_ms is None or sent_at_ms > table.confirmed_at_ms:
+        table.confirmed_at_ms = sent_at_ms
+    for round_id in [r for r in table.round_sent_at_ms if r < confirmed]:
+        del table.round_sent_at_ms[round_id]
--- /dev/null
+++ b/fescueyard/consensus/log.py
@@ -0,0 +1,137 @@
+"""The log of one member: what it holds and what is not saved yet."""
+
+from fescueyard.consensus import models
+from fescueyard.core import wire
+
+
+def last_index(table):
+    """Find the last entry of the log.
+
+    :returns: its index.
+    """
+    return table.snapshot.index + len(table.entries)
+
+
+def term_at(table, index):
+    """Find the term of an entry.
+
+    :param index: the entry's index.
+    :returns: the term, or None when the log does not hold the entry.
+    """
+    if index == table.snapshot.index:
+        return table.snapshot.term
+    position = index - table.snapshot.index - 1
+    if 0 <= position < len(table.entries):
+        return table.entries[position].term
+    return None
+
+
+def entry_at(table, index):
+    """Find an entry after the snapshot.
+
+    :returns: the entry.
+    """
+    return table.entries[index - table.snapshot.index - 1]
+
+
+def find_member(table, member_id):
+    """Look up a member.
+
+    :returns: :class:`~fescueyard.consensus.models.Member` or None.
+    """
+    for member in table.members:
+        if member.member_id == member_id:
+            return member
+    return None
+
+
+def is_voter(table, member_id):
+    """Say whether a member has a vote.
+
+    :returns: bool.
+    """
+    member = find_member(table, member_id)
+    return member is not None and member.voter
+
+
+def is_majority(table, member_ids):
+    """Say whether some members are a majority of the voters.
+
+    :param member_ids: ids of the members.
+    :returns: bool.
+    """
+    voters = [member for member in table.members if member.voter]
+    counted = 0
+    for voter in voters:
+        if voter.member_id in member_ids:
+            counted += 1
+    return counted * 2 > len(voters)
+
+
+def _members_at(table, index):
+    members = table.snapshot.members
+    for entry in table.entries:
+        if entry.index > index:
+            break
+        if entry.kind == models.MEMBERS_ENTRY:
+            record = wire.decode_plain(models.MembersRecord, entry.payload)
+            members = record.members
+    return members
+
+
+def refresh_members(table):
+    """Take the members from the latest entry that sets them."""
+    table.members = _members_at(table, last_index(table))
+
+
+def truncate(table, index):
+    """Cut the log after an entry.
+
+    :param index: last entry kept.
+    """
+    table.entries = table.entries[: index - table.snapshot.index]
+    if index < table.saved_index:
+        table.saved_index = index
+        table.truncate_after = index
+
+
+def take_unsaved(table):
+    """Collect what must be saved before the outbox is sent.
+
+    :returns: :class:`models.Unsaved`, or None when the disk is up to date.
+    """
+    entries = []
+    if last_index(table) > table.saved_index:
+        start = max(0, table.saved_index - table.snapshot.index)
+        entries = table.entries[start:]
+    changed = table.vote_changed or table.snapshot_changed
+    if not changed and not entries and table.truncate_after is None:
+        return None
+    return models.Unsaved(
+        table.vote if table.vote_changed else None,
+        table.snapshot if table.snapshot_changed else None,
+        table.truncate_after,
+        entries,
+    )
+
+
+def compact(table, state):
+    """Replace the committed log by a snapshot of the applied state.
+
+    :param state: the state after the entry at ``commit_index``, encoded.
+    """
+    index = table.commit_index
+    members = _members_at(table, index)
+    snapshot = models.Snapshot(index, term_at(table, index), members, state)
+    table.entries = table.entries[index - table.snapshot.index :]
+    table.snapshot = snapshot
+    table.snapshot_changed = True
+
+
+def send(table, member_id, message):
+    """Queue a message to another member.
+
+    :param member_id: the member.
+    :param message: the message.
+    """
+    table.outbox.append(models.Outgoing(member_id, message))
--- /dev/null
+++ b/fescueyard/consensus/replication.py
@@ -0,0 +1,274 @@
+"""Replication: entries to the members, commitment, change of members."""
+
+import dataclasses
+
+from fescueyard.consensus import dispatch
+from fescueyard.consensus import lease
+from fescueyard.consensus import log
+from fescueyard.consensus import messages
+from fescueyard.consensus import models
+from fescueyard.consensus import roles
+from fescueyard.core import wire
+
+HEARTBEAT_MS = 100
+ENTRIES_PER_MESSAGE_MAX = 256
+SNAPSHOT_RESEND_MS = 2_000
+VOTERS_MAX = 5
+
+
+def propose(table, kind, payload, now_ms):
+    """Append an entry as the leader.
+
+    :param kind: kind of entry.
+    :param payload: its payload.
+    :param now_ms: the present time.
+    :returns: the entry's index, or None when this member does not lead.
+    """
+    if not lease.is_leader(table):
+        return None
+    index = log.last_index(table) + 1
+    entry = models.LogEntry(index, table.vote.term, kind, payload)
+    table.entries.append(entry)
+    if kind == models.MEMBERS_ENTRY:
+        log.refresh_members(table)
+        track_progress(table)
+    send_entries(table, now_ms)
+    return index
+
+
+def may_change_members(table):
+    """Say whether a change of the members may start.
+
+    One change at a time, and only after the leader committed an entry of its
+    own term: otherwise two leaders could count different majorities.
+
+    :returns: bool.
+    """
+    if not lease.is_leader(table):
+        return False
+    if table.commit_index < table.term_start_index:
+        return False
+    for entry in reversed(table.entries):
+        if entry.index <= table.commit_index:
+            return True
+        if entry.kind == models.MEMBERS_ENTRY:
+            return False
+    return True
+
+
+def propose_members(table, members, now_ms):
+    """Propose a new list of members.
+
+    :param members: list of members that differs by one from the present.
+    :returns: the entry's index, or None when it may not start now.
+    """
+    if not may_change_members(table):
+        return None
+    payload = wire.encode_plain(models.MembersRecord(members))
+    return propose(table, models.MEMBERS_ENTRY, payload, now_ms)
+
+
+def track_progress(table):
+    """Keep a row of progress for each other member."""
+    for member in table.members:
+        if member.member_id != table.member_id:
+            table.progress.setdefault(
+                member.member_id, models.Progress(log.last_index(table))
+            )
+    known = {member.member_id for member in table.members}
+    for member_id in list(table.progress):
+        if member_id not in known:
+            del table.progress[member_id]
+
+
+def promote_learner(table, now_ms):
+    """Give a learner that has caught up a vote, while voters are wanted.
+
+    Learners beyond that stay what they are: they answer pulls, and one takes
+    the place of a voter that is removed.
+    """
+    if sum(member.voter for member in table.members) >= VOTERS_MAX:
+        return
+    for member in table.members:
+        if member.voter:
+            continue
+        progress = table.progress.get(member.member_id)
+        caught_up = progress and progress.match_index >= table.commit_index
+        if caught_up and may_change_members(table):
+            promoted = dataclasses.replace(member, voter=True)
+            members = [
+                promoted if each is member else each for each in table.members
+            ]
+            propose_members(table, members, now_ms)
+            return
+
+
+def send_entries(table, now_ms, heartbeat=False):
+    """Begin a round: send each member what it lacks.
+
+    :param now_ms: the present time.
+    :param heartbeat: send to members that are busy too.
+    """
+    table.round_id += 1
+    table.round_sent_at_ms[table.round_id] = now_ms
+    table.heartbeat_due_ms = now_ms + HEARTBEAT_MS
+    for member_id in table.progress:
+        if heartbeat or now_ms >= table.progress[member_id].busy_until_ms:
+            _send_append(table, member_id, now_ms)
+    lease.confirm(table)
+
+
+def _send_append(table, member_id, now_ms):
+    progress = table.progress[member_id]
+    busy = now_ms < progress.busy_until_ms
+    previous = progress.next_index - 1
+    if previous < table.snapshot.index:
+        if not busy:
+            progress.busy_until_ms = now_ms + SNAPSHOT_RESEND_MS
+            ask = messages.SnapshotAsk(
+                table.vote.term, table.round_id, table.snapshot
+            )
+            log.send(table, member_id, ask)
+            return
+        previous = table.snapshot.index
+    entries = []
+    if not busy:
+        start = previous - table.snapshot.index
+        entries = table.entries[start : start + ENTRIES_PER_MESSAGE_MAX]
+    if entries:
+        progress.busy_until_ms = now_ms + HEARTBEAT_MS
+    ask = messages.AppendAsk(
+        table.vote.term,
+        table.round_id,
+        previous,
+        log.term_at(table, previous),
+        table.commit_index,
+        entries,
+    )
+    log.send(table, member_id, ask)
+
+
+def advance_commit(table, now_ms):
+    """Commit what a majority has saved, of this term and before it.
+
+    :param now_ms: the present time.
+    """
+    for index in range(log.last_index(table), table.commit_index, -1):
+        if log.term_at(table, index) != table.vote.term:
+            return
+        holders = set()
+        if table.saved_index >= index:
+            holders.add(table.member_id)
+        for member_id, progress in table.progress.items():
+            if progress.match_index >= index:
+                holders.add(member_id)
+        if log.is_majority(table, holders):
+            table.commit_index = index
+            send_entries(table, now_ms)
+            if not log.is_voter(table, table.member_id):
+                roles.become_follower(table, now_ms)
+            return
+
+
+def _append_entries(table, message):
+    """Append what is new and cut what conflicts.
+
+    :returns: last index that matches the leader's log, or None.
+    """
+    previous = message.previous_index
+    if previous > table.snapshot.index:
+        if log.term_at(table, previous) != message.previous_term:
+            return None
+    members_changed = False
+    for entry in message.entries:
+        if entry.index <= table.snapshot.index:
+            continue
+        known_term = log.term_at(table, entry.index)
+        if known_term == entry.term:
+            continue
+        if known_term is not None:
+            log.truncate(table, entry.index - 1)
+            members_changed = True
+        table.entries.append(entry)
+        if entry.kind == models.MEMBERS_ENTRY:
+            members_changed = True
+    if members_changed:
+        log.refresh_members(table)
+    return previous + len(message.entries)
+
+
+@dispatch.receive.register
+def _receive_append_ask(message: messages.AppendAsk, table, sender_id, now_ms):
+    if not roles.follow(table, message.term, sender_id, now_ms):
+        answer = messages.AppendAnswer(
+            table.vote.term, message.round_id, False, 0
+        )
+        log.send(table, sender_id, answer)
+        return
+    matched = _append_entries(table, message)
+    if matched is None:
+        hint = min(log.last_index(table), message.previous_index - 1)
+        hint = max(hint, table.commit_index)
+        answer = messages.AppendAnswer(
+            table.vote.term, message.round_id, False, hint
+        )
+    else:
+        table.commit_index = max(
+            table.commit_index, min(message.commit_index, matched)
+        )
+        answer = messages.AppendAnswer(
+            table.vote.term, message.round_id, True, matched
+        )
+    log.send(table, sender_id, answer)
+
+
+@dispatch.receive.register
+def _receive_snapshot_ask(
+    message: messages.SnapshotAsk, table, sender_id, now_ms
+):
+    if not roles.follow(table, message.term, sender_id, now_ms):
+        return
+    snapshot = message.snapshot
+    if snapshot.index > table.commit_index:
+        if log.term_at(table, snapshot.index) == snapshot.term:
+            kept = snapshot.index - table.snapshot.index
+            table.entries = table.entries[kept:]
+            table.saved_index = max(table.saved_index, snapshot.index)
+        else:
+            # Entries below the snapshot stay on disk until it is
+            # saved.
+            log.truncate(table, snapshot.index - 1)
+            table.entries = []
+            table.saved_index = snapshot.index
+        table.snapshot = snapshot
+        table.snapshot_changed = True
+        table.commit_index = snapshot.index
+        log.refresh_members(table)
+    answer = messages.AppendAnswer(
+        table.vote.term, message.round_id, True, table.commit_index
+    )
+    log.send(table, sender_id, answer)
+
+
+@dispatch.receive.register
+def _receive_append_answer(
+    message: messages.AppendAnswer, table, sender_id, now_ms
+):
+    roles.see_term(table, message.term, now_ms)
+    progress = table.progress.get(sender_id)
+    if table.role is not models.Role.LEADER or progress is None:
+        return
+    if message.term != table.vote.term:
+        return
+    progress.acked_round = max(progress.acked_round, message.round_id)
+    lease.confirm(table)
+    if message.success:
+        progress.busy_until_ms = 0.0
+        progress.match_index = max(progress.match_index, message.match_index)
+        progress.next_index = progress.match_index + 1
+        advance_commit(table, now_ms)
+    else:
+        hint = min(progress.next_index - 1, message.match_index + 1)
+        progress.next_index = max(progress.match_index + 1, hint)
+    if progress.next_index <= log.last_index(table):
+        _send_append(table, sender_id, now_ms)
--- /dev/null
+++ b/fescueyard/consensus/systems.py
@@ -0,0 +1,76 @@
+"""Agreement on the log by majority: elections, replication, commitment.
+
+No socket, disk or clock is used here. The caller hands in each message and
+the present time, saves what :func:`log.take_unsaved` returns, calls
+:func:`saved`, and only then sends the messages in ``outbox``.
+"""
+
+import random
+
+from fescueyard.consensus import elections
+from fescueyard.consensus import log
+from fescueyard.consensus import models
+from fescueyard.consensus import replication
+from fescueyard.consensus import roles
+
+
+def new_table(member_id, vote, snapshot, entries, seed, now_ms):
+    """Make the table of a member from what its disk holds.
+
+    :param member_id: identity of the data folder.
+    :param vote: saved :class:`~fescueyard.consensus.models.Vote`.
+    :param snapshot: saved :class:`~fescueyard.consensus.models.Snapshot`.
+    :param entries: saved entries after the snapshot.
+    :param seed: seed of the election timeouts.
+    :param now_ms: the present time.
+    :returns: :class:`models.ConsensusTable`.
+    """
+    table = models.ConsensusTable(
+        member_id, vote, snapshot, entries, random.Random(seed)
+    )
+    table.commit_index = snapshot.index
+    table.saved_index = log.last_index(table)
+    # A vote given just before the restart may still back a leader's lease.
+    table.heard_leader_at_ms = now_ms
+    log.refresh_members(table)
+    roles.schedule_election(table, now_ms)
+    return table
+
+
+def tick(table, now_ms):
+    """Run what is due: heartbeats, promotion, stepping down, elections.
+
+    :param now_ms: the present time.
+    """
+    if table.role is models.Role.LEADER:
+        _tick_leader(table, now_ms)
+    elif now_ms >= table.election_due_ms:
+        roles.schedule_election(table, now_ms)
+        if log.is_voter(table, table.member_id):
+            elections.start_pre_vote(table, now_ms)
+
+
+def saved(table, now_ms):
+    """Note that everything is on disk; the leader's own copy counts now."""
+    table.vote_changed = False
+    table.snapshot_changed = False
+    table.truncate_after = None
+    table.saved_index = log.last_index(table)
+    if table.role is models.Role.LEADER:
+        replication.advance_commit(table, now_ms)
+
+
+def _tick_leader(table, now_ms):
+    since_ms = table.confirmed_at_ms
+    if since_ms is None:
+        since_ms = table.leading_since_ms
+    if table.handing_over_at_ms is not None:
+        # The offer may still be under way, so the lease can't come back in
+        # this term.
+        since_ms = table.handing_over_at_ms
+    if now_ms - since_ms > roles.ELECTION_TIMEOUT_MIN_MS:
+        roles.become_follower(table, now_ms)
+        return
+    if now_ms >= table.heartbeat_due_ms:
+        replication.send_entries(table, now_ms, heartbeat=True)
+    replication.promote_learner(table, now_ms)
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -4,9 +4,11 @@
 import secrets
 
 from fescueyard.conf import settings as conf_settings
+from fescueyard.consensus import elections
+from fescueyard.consensus import log
+from fescueyard.consensus import models as consensus_models
+from fescueyard.consensus import systems as consensus
 from fescueyard.control import admin
-from fescueyard.control import consensus
-from fescueyard.control import models
 from fescueyard.control import storage as storages
 from fescueyard.control import systems
 from fescueyard.control import tables as control_tables
@@ -43,7 +45,7 @@
         self.stopped = loop.create_future()
         self._storage = storage
         self._operators = operators.load(settings.operators_file)
-        own = models.Member(
+        own = consensus_models.Member(
             loaded.member_id,
             settings.address,
             settings.admin_address,
@@ -95,7 +97,7 @@
         now_ms = clock.now_ms()
         self._stopping_since_ms = now_ms
         LOG.info("Control is stopping.")
-        consensus.hand_over(self._tables.consensus, now_ms)
+        elections.hand_over(self._tables.consensus, now_ms)
         self._settle(now_ms)
 
     def dump(self):
@@ -224,14 +226,14 @@
             systems.settle(tables, now_ms)
             if systems.wants_snapshot(tables):
                 systems.take_snapshot(tables)
-            if consensus.take_unsaved(agreement) is None:
+            if log.take_unsaved(agreement) is None:
                 break
         self._send_outbox()
         self._send_effects()
         self._deliver_outcomes()
 
     def _save(self):
-        unsaved = consensus.take_unsaved(self._tables.consensus)
+        unsaved = log.take_unsaved(self._tables.consensus)
         if unsaved is None:
             return
         try:
@@ -247,7 +249,7 @@
         outbox = agreement.outbox
         agreement.outbox = []
         for outgoing in outbox:
-            member = consensus.find_member(agreement, outgoing.member_id)
+            member = log.find_member(agreement, outgoing.member_id)
             if member is not None:
                 address = streams.parse_address(member.address)
                 self._pool.send(address, outgoing.message)
@@ -303,7 +305,7 @@
         waited_ms = now_ms - self._stopping_since_ms
         if waited_ms > STOP_TIMEOUT_S * 1000:
             return True
-        leads = self._tables.consensus.role is models.Role.LEADER
+        leads = self._tables.consensus.role is consensus_models.Role.LEADER
         alone = len(self._tables.consensus.members) == 1
         return not self._connections and (alone or not leads)
 
@@ -325,7 +327,9 @@
     """
     storage = storages.Storage(settings.data_folder)
     if storage.is_new() and settings.join:
-        storage.create(lambda member_id: models.Snapshot(0, 0, [], b""))
+        storage.create(
+            lambda member_id: consensus_models.Snapshot(0, 0, [], b"")
+        )
     process = ControlProcess(settings, storage, storage.load())
     await process.start()
     return process
--- a/fescueyard/control/storage.py
+++ b/fescueyard/control/storage.py
@@ -12,7 +12,7 @@
 import struct
 import zlib
 
-from fescueyard.control import models
+from fescueyard.consensus import models as consensus_models
 from fescueyard.core import codes
 from fescueyard.core import exceptions
 from fescueyard.core import ids
@@ -30,9 +30,9 @@
     """What a data folder holds."""
 
     member_id: str
-    vote: models.Vote
-    snapshot: models.Snapshot
-    entries: list[models.LogEntry]
+    vote: consensus_models.Vote
+    snapshot: consensus_models.Snapshot
+    entries: list[consensus_models.LogEntry]
 
 
 @dataclasses.dataclass
@@ -72,14 +72,14 @@
         """Give the folder an identity and its first snapshot.
 
         :param snapshot: function from the new member id to the
-            :class:`~fescueyard.control.models.Snapshot`.
+            :class:`~fescueyard.consensus.models.Snapshot`.
         :raises StorageError: when the folder already holds a member.
         """
         if not self.is_new():
             raise exceptions.StorageError("the folder already has a member")
         member_id = ids.new_id("m-")
         self._replace("snapshot", snapshot(member_id))
-        self._replace("vote", models.Vote(0, ""))
+        self._replace("vote", consensus_models.Vote(0, ""))
         self._replace_log([])
         # The identity goes last: a folder without it counts as new.
         self._replace("member", _MemberRecord(member_id))
@@ -98,8 +98,8 @@
                 "the data folder holds no member", codes.NOT_INITIALISED
             )
         member = self._read_one("member", _MemberRecord)
-        vote = self._read_one("vote", models.Vote)
-        snapshot = self._read_one("snapshot", models.Snapshot)
+        vote = self._read_one("vote", consensus_models.Vote)
+        snapshot = self._read_one("snapshot", consensus_models.Snapshot)
         entries = self._load_log()
         entries = [row for row in entries if row.index > snapshot.index]
         self._check_sequence(snapshot, entries)
@@ -108,7 +108,7 @@
     def save(self, unsaved):
         """Write and sync what changed.
 
-        :param unsaved: :class:`~fescueyard.control.consensus.Unsaved`.
+        :param unsaved: :class:`~fescueyard.consensus.models.Unsaved`.
         """
         if unsaved.vote is not None:
             self._replace("vote", unsaved.vote)
@@ -275,7 +275,7 @@
         payload, end = _unframe(data, start)
         if payload is None:
             break
-        entries.append(wire.decode_plain(models.LogEntry, payload))
+        entries.append(wire.decode_plain(consensus_models.LogEntry, payload))
         ends.append(end)
         start = end
     return entries, ends
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -9,9 +9,13 @@
 from fescueyard.configuration import messages as configuration_messages
 from fescueyard.configuration import replica
 from fescueyard.configuration import state as states
-from fescueyard.control import consensus
+from fescueyard.consensus import dispatch as consensus_dispatch
+from fescueyard.consensus import lease
+from fescueyard.consensus import log
+from fescueyard.consensus import models as consensus_models
+from fescueyard.consensus import replication
+from fescueyard.consensus import systems as consensus
 from fescueyard.control import messages
-from fescueyard.control import models
 from fescueyard.control import tables as control_tables
 from fescueyard.core import codes
 from fescueyard.core import dispatch
@@ -39,7 +43,7 @@
     :param now_ms: the present time.
     :returns: age in ms; infinite when nothing is known.
     """
-    leader_age_ms = consensus.confirmed_age_ms(tables.consensus, now_ms)
+    leader_age_ms = lease.confirmed_age_ms(tables.consensus, now_ms)
     follower_age_ms = now_ms - tables.freshness.fresh_as_of_ms
     return min(leader_age_ms, follower_age_ms)
 
@@ -52,8 +56,8 @@
     :param now_ms: the present time.
     """
     payload = wire.encode_plain(change)
-    index = consensus.propose(
-        tables.consensus, models.CHANGE_ENTRY, payload, now_ms
+    index = replication.propose(
+        tables.consensus, consensus_models.CHANGE_ENTRY, payload, now_ms
     )
     if index is not None:
         _await_entry(tables, index, origin, now_ms)
@@ -75,7 +79,7 @@
     :param now_ms: the present time.
     """
     agreement = tables.consensus
-    if not consensus.is_leader(agreement):
+    if not lease.is_leader(agreement):
         _forward(
             tables,
             lambda ask_id: messages.MembersAsk(ask_id, member_id, add),
@@ -83,7 +87,7 @@
             now_ms,
         )
         return
-    known = consensus.find_member(agreement, member_id)
+    known = log.find_member(agreement, member_id)
     if (known is not None) == add:
         _tell(tables, origin, _result(codes.CHANGED))
         return
@@ -99,7 +103,7 @@
             detail = "the last voter can't be removed"
             _tell(tables, origin, _result(codes.BAD_CHANGE, detail))
             return
-    index = consensus.propose_members(agreement, members, now_ms)
+    index = replication.propose_members(agreement, members, now_ms)
     if index is None:
         _tell(tables, origin, _result(codes.MEMBERS_BUSY))
         return
@@ -127,12 +131,12 @@
         if tables.applied_index < agreement.snapshot.index:
             _restore_snapshot(tables)
             continue
-        entry = consensus.entry_at(agreement, tables.applied_index + 1)
+        entry = log.entry_at(agreement, tables.applied_index + 1)
         _apply_entry(tables, entry)
         tables.applied_index = entry.index
     _settle_freshness(tables)
     _settle_reads(tables, now_ms)
-    if not consensus.is_leader(agreement):
+    if not lease.is_leader(agreement):
         # Whether these were committed is not known here any more.
         for index in list(tables.pending_proposals):
             pending = tables.pending_proposals.pop(index)
@@ -153,7 +157,7 @@
 
 def take_snapshot(tables):
     """Compact the log into a snapshot of the applied state."""
-    consensus.compact(tables.consensus, states.dump_state(tables.state))
+    log.compact(tables.consensus, states.dump_state(tables.state))
 
 
 def tick(tables, now_ms):
@@ -163,7 +167,7 @@
     """
     agreement = tables.consensus
     consensus.tick(agreement, now_ms)
-    if consensus.holds_lease(agreement, now_ms):
+    if lease.holds_lease(agreement, now_ms):
         fleet.take_charge(tables.fleet, agreement.vote.term, now_ms)
         for change in assignment.changes_due(tables, now_ms):
             submit_change(
@@ -203,7 +207,7 @@
     :param stream: handle for replies.
     :param now_ms: the present time.
     """
-    consensus.receive(message, tables.consensus, peer_id, now_ms)
+    consensus_dispatch.receive(message, tables.consensus, peer_id, now_ms)
 
 
 @receive.register
@@ -231,7 +235,7 @@
     answer = messages.FreshnessAnswer(
         message.question_id,
         tables.applied_index,
-        consensus.confirmed_age_ms(tables.consensus, now_ms),
+        lease.confirmed_age_ms(tables.consensus, now_ms),
     )
     tables.effects.append(effects.SendReply(stream, answer))
 
@@ -262,7 +266,7 @@
     message: messages.ChangeAsk, tables, peer_id, stream, now_ms
 ):
     origin = control_tables.RemoteOrigin(stream, message.ask_id)
-    if not consensus.is_leader(tables.consensus):
+    if not lease.is_leader(tables.consensus):
         _tell(tables, origin, _result(codes.NO_LEADER))
         return
     submit_change(tables, message.change, origin, now_ms)
@@ -273,7 +277,7 @@
     message: messages.MembersAsk, tables, peer_id, stream, now_ms
 ):
     origin = control_tables.RemoteOrigin(stream, message.ask_id)
-    if not consensus.is_leader(tables.consensus):
+    if not lease.is_leader(tables.consensus):
         _tell(tables, origin, _result(codes.NO_LEADER))
         return
     submit_members_change(
@@ -313,7 +317,7 @@
     message: limit_messages.TokenAsk, tables, peer_id, stream, now_ms
 ):
     agreement = tables.consensus
-    if consensus.holds_lease(agreement, now_ms) and message.to_fleet:
+    if lease.holds_lease(agreement, now_ms) and message.to_fleet:
         fleet.take_charge(tables.fleet, agreement.vote.term, now_ms)
         answer = fleet.answer(tables.fleet, tables.state, message, now_ms)
     else:
@@ -330,9 +334,7 @@
 
 
 def _forward(tables, make_message, origin, now_ms):
-    leader = consensus.find_member(
-        tables.consensus, tables.consensus.leader_id
-    )
+    leader = log.find_member(tables.consensus, tables.consensus.leader_id)
     if leader is None or leader.member_id == tables.consensus.member_id:
         _tell(tables, origin, _result(codes.NO_LEADER))
         return
@@ -385,7 +387,7 @@
 
 def _apply_entry(tables, entry):
     result = _result(codes.CHANGED)
-    if entry.kind == models.CHANGE_ENTRY:
+    if entry.kind == consensus_models.CHANGE_ENTRY:
         change = wire.decode_plain(states.Change, entry.payload)
         result = states.apply_change(tables.state, change, entry.index)
     pending = tables.pending_proposals.pop(entry.index, None)
@@ -427,9 +429,9 @@
 def _ask_freshness(tables, now_ms):
     freshness = tables.freshness
     agreement = tables.consensus
-    if now_ms < freshness.ask_due_ms or consensus.is_leader(agreement):
+    if now_ms < freshness.ask_due_ms or lease.is_leader(agreement):
         return
-    leader = consensus.find_member(agreement, agreement.leader_id)
+    leader = log.find_member(agreement, agreement.leader_id)
     if leader is None:
         return
     freshness.ask_due_ms = now_ms + FRESHNESS_INTERVAL_MS
@@ -449,7 +451,7 @@
     if now_ms < tables.join_due_ms:
         return
     tables.join_due_ms = now_ms + JOIN_INTERVAL_MS
-    if consensus.find_member(agreement, agreement.member_id) is not None:
+    if log.find_member(agreement, agreement.member_id) is not None:
         return
     for address in tables.control_addresses:
         if address != tables.own.address:
--- a/fescueyard/control/tables.py
+++ b/fescueyard/control/tables.py
@@ -4,8 +4,8 @@
 import random
 
 from fescueyard.configuration import state as states
-from fescueyard.control import consensus as agreements
-from fescueyard.control import models
+from fescueyard.consensus import models as consensus_models
+from fescueyard.consensus import systems as consensus
 from fescueyard.limits import models as limit_models
 from fescueyard.once import models as claim_models
 from fescueyard.routing import messages as routing_messages
@@ -111,7 +111,7 @@
     :param heard_at_ms: when it last asked.
     """
 
-    member: models.Member
+    member: consensus_models.Member
     heard_at_ms: float
 
 
@@ -129,9 +129,9 @@
     :param effects: messages for the edge to send.
     """
 
-    consensus: agreements.ConsensusTable
+    consensus: consensus_models.ConsensusTable
     state: states.ConfigurationState
-    own: models.Member
+    own: consensus_models.Member
     members: routing_models.MemberTable
     control_addresses: list[str]
     random: random.Random
@@ -164,7 +164,7 @@
     """Make the tables of a control process from its data folder.
 
     :param loaded: :class:`~fescueyard.control.storage.Loaded`.
-    :param own: this process as a :class:`~fescueyard.control.models.Member`.
+    :param own: this process as a :class:`~fescueyard.consensus.models.Member`.
     :param region: region of its zone.
     :param control_addresses: ``host:port`` of other control VMs.
     :param seed: seed of the random choices.
@@ -175,7 +175,7 @@
     applied = states.ConfigurationState()
     if snapshot.state:
         applied = states.load_state(snapshot.state)
-    agreement = agreements.new_table(
+    agreement = consensus.new_table(
         loaded.member_id,
         loaded.vote,
         snapshot,
--- a/fescueyard/management/commands/control_init.py
+++ b/fescueyard/management/commands/control_init.py
@@ -2,7 +2,7 @@
 
 from fescueyard.conf import settings
 from fescueyard.configuration import state
-from fescueyard.control import models
+from fescueyard.consensus import models as consensus_models
 from fescueyard.control import storage
 from fescueyard.core import ids
 from fescueyard.management import utils
@@ -17,7 +17,7 @@
     cluster_id = ids.new_id("c-")
 
     def first_snapshot(member_id):
-        member = models.Member(
+        member = consensus_models.Member(
             member_id,
             values.address,
             values.admin_address,
@@ -25,7 +25,9 @@
             voter=True,
         )
         configuration = state.ConfigurationState(cluster_id)
-        return models.Snapshot(1, 1, [member], state.dump_state(configuration))
+        return consensus_models.Snapshot(
+            1, 1, [member], state.dump_state(configuration)
+        )
 
     folder = storage.Storage(values.data_folder)
     folder.create(first_snapshot)
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -7,8 +7,10 @@
 import random
 
 from fescueyard.configuration import state as states
-from fescueyard.control import consensus
-from fescueyard.control import models
+from fescueyard.consensus import lease
+from fescueyard.consensus import log
+from fescueyard.consensus import models as consensus_models
+from fescueyard.consensus import systems as consensus
 from fescueyard.control import storage
 from fescueyard.control import systems
 from fescueyard.control import tables as control_tables
@@ -30,7 +32,7 @@
 
     def __init__(self, member_id, snapshot):
         self.loaded = storage.Loaded(
-            member_id, models.Vote(0, ""), snapshot, []
+            member_id, consensus_models.Vote(0, ""), snapshot, []
         )
 
     def save(self, unsaved):
@@ -96,7 +98,7 @@
         members = [_member(member_id, voter=True) for member_id in ids]
         state = states.dump_state(states.ConfigurationState("c-test"))
         for member_id in ids:
-            snapshot = models.Snapshot(1, 1, members, state)
+            snapshot = consensus_models.Snapshot(1, 1, members, state)
             self.disks[member_id] = FakeDisk(member_id, snapshot)
             self.start(member_id)
 
@@ -127,7 +129,7 @@
 
     def add_learner(self, member_id):
         """Start a process with an empty disk that asks to join."""
-        empty = models.Snapshot(0, 0, [], b"")
+        empty = consensus_models.Snapshot(0, 0, [], b"")
         self.disks[member_id] = FakeDisk(member_id, empty)
         self.start(member_id)
 
@@ -159,7 +161,7 @@
     def leader(self):
         """Find the member with the lease, or None."""
         for member_id, tables in self.tables.items():
-            if member_id not in self.frozen and consensus.holds_lease(
+            if member_id not in self.frozen and lease.holds_lease(
                 tables.consensus, self.now_ms
             ):
                 return member_id
@@ -236,14 +238,14 @@
         tables = self.tables[member_id]
         agreement = tables.consensus
         while True:
-            unsaved = consensus.take_unsaved(agreement)
+            unsaved = log.take_unsaved(agreement)
             if unsaved is not None:
                 self.disks[member_id].save(unsaved)
             consensus.saved(agreement, self.now_ms)
             systems.settle(tables, self.now_ms)
             if systems.wants_snapshot(tables):
                 systems.take_snapshot(tables)
-            if consensus.take_unsaved(agreement) is None:
+            if log.take_unsaved(agreement) is None:
                 break
         self._check(member_id)
         outbox, agreement.outbox = agreement.outbox, []
@@ -300,20 +302,20 @@
     def _check(self, member_id):
         """Check what must hold after each step."""
         agreement = self.tables[member_id].consensus
-        if agreement.role is models.Role.LEADER:
+        if agreement.role is consensus_models.Role.LEADER:
             term = agreement.vote.term
             known = self.leaders_by_term.setdefault(term, member_id)
             assert known == member_id, f"two leaders in term {term}"
         first = agreement.snapshot.index + 1
         for index in range(first, agreement.commit_index + 1):
-            entry = consensus.entry_at(agreement, index)
+            entry = log.entry_at(agreement, index)
             told = (entry.term, entry.kind, entry.payload)
             known = self.committed.setdefault(index, told)
             assert known == told, f"entry {index} was committed twice"
         holders = [
             other
             for other, tables in self.tables.items()
-            if consensus.holds_lease(tables.consensus, self.now_ms)
+            if lease.holds_lease(tables.consensus, self.now_ms)
         ]
         assert len(holders) <= 1, f"two leases: {holders}"
 
@@ -328,7 +330,7 @@
 
 
 def _member(member_id, voter):
-    return models.Member(
+    return consensus_models.Member(
         member_id, f"{member_id}:1", f"{member_id}:2", "zone", voter
     )
 
--- a/tests/control/test_consensus.py
+++ b/tests/control/test_consensus.py
@@ -4,9 +4,13 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
-from fescueyard.control import consensus
+from fescueyard.consensus import elections
+from fescueyard.consensus import lease
+from fescueyard.consensus import log
+from fescueyard.consensus import messages as consensus_messages
+from fescueyard.consensus import models as consensus_models
+from fescueyard.consensus import roles
 from fescueyard.control import messages
-from fescueyard.control import models
 from fescueyard.control import systems
 from fescueyard.core import codes
 from tests.control import harness
@@ -108,7 +112,7 @@
         leader_id = self.cluster.leader()
         if leader_id is not None:
             agreement = self.cluster.tables[leader_id].consensus
-            consensus.hand_over(agreement, self.cluster.now_ms)
+            elections.hand_over(agreement, self.cluster.now_ms)
 
     def teardown(self):
         if not hasattr(self, "cluster"):
@@ -151,10 +155,10 @@
     for other in ("m0", "m1", "m2"):
         cluster.cuts.add((leader_id, other))
     operation = cluster.change(leader_id, "one", 1, 0, "c1")
-    cluster.run(consensus.ELECTION_TIMEOUT_MIN_MS + 200)
+    cluster.run(roles.ELECTION_TIMEOUT_MIN_MS + 200)
     assert operation.code == codes.CHANGE_UNKNOWN.number
     stale = cluster.tables[leader_id].consensus
-    assert not consensus.is_leader(stale)
+    assert not lease.is_leader(stale)
 
 
 def test_resend_gets_first_answer_after_change_of_leader():
@@ -187,7 +191,7 @@
     _change_members(cluster, "m9", add=True)
     cluster.run(2_000)
     agreement = cluster.tables[cluster.leader()].consensus
-    assert consensus.find_member(agreement, "m9").voter
+    assert log.find_member(agreement, "m9").voter
     second = next(
         row for row in cluster.disks if row not in ("m9", cluster.leader())
     )
@@ -219,13 +223,17 @@
 
 def test_vote_is_kept_over_a_restart():
     cluster = harness.Cluster(3, 5)
-    ask = messages.VoteAsk(7, 1, 1, pre_vote=False, transfer=True)
+    ask = consensus_messages.VoteAsk(7, 1, 1, pre_vote=False, transfer=True)
     cluster.receive("m0", "m1", ask)
-    assert cluster.tables["m0"].consensus.vote == models.Vote(7, "m1")
+    assert cluster.tables["m0"].consensus.vote == consensus_models.Vote(
+        7, "m1"
+    )
     cluster.crash("m0")
     cluster.start("m0")
     cluster.receive("m0", "m2", ask)
-    assert cluster.tables["m0"].consensus.vote == models.Vote(7, "m1")
+    assert cluster.tables["m0"].consensus.vote == consensus_models.Vote(
+        7, "m1"
+    )
 
 
 def test_cut_follower_does_not_unseat_a_leader_with_its_lease():
@@ -282,18 +290,18 @@
 def test_entry_of_an_earlier_term_is_not_committed_by_counting():
     cluster = harness.Cluster(5, 9)
     table = cluster.tables["m0"].consensus
-    old = models.LogEntry(2, 2, models.EMPTY_ENTRY, b"")
+    old = consensus_models.LogEntry(2, 2, consensus_models.EMPTY_ENTRY, b"")
     table.entries.append(old)
-    table.vote = models.Vote(3, "")
-    ask = messages.LeadershipOffer(3)
+    table.vote = consensus_models.Vote(3, "")
+    ask = consensus_messages.LeadershipOffer(3)
     table.leader_id = "m1"
     cluster.receive("m0", "m1", ask)
     for voter in ("m1", "m2"):
-        answer = messages.VoteAnswer(4, pre_vote=False, granted=True)
+        answer = consensus_messages.VoteAnswer(4, pre_vote=False, granted=True)
         cluster.receive("m0", voter, answer)
-    assert table.role is models.Role.LEADER
+    assert table.role is consensus_models.Role.LEADER
     for voter in ("m1", "m2"):
-        answer = messages.AppendAnswer(4, 1, True, old.index)
+        answer = consensus_messages.AppendAnswer(4, 1, True, old.index)
         cluster.receive("m0", voter, answer)
     # Three of five hold the old entry, yet a later leader may replace it.
     assert table.commit_index < old.index
@@ -321,12 +329,12 @@
     _change_members(cluster, "m9", add=True)
     cluster.run(2_000)
     agreement = cluster.tables[cluster.leader()].consensus
-    assert not consensus.find_member(agreement, "m9").voter
+    assert not log.find_member(agreement, "m9").voter
     voter = next(row for row in cluster.disks if row != cluster.leader())
     _change_members(cluster, voter, add=False)
     cluster.run(2_000)
     agreement = cluster.tables[cluster.leader()].consensus
-    assert consensus.find_member(agreement, "m9").voter
+    assert log.find_member(agreement, "m9").voter
     read = cluster.read("m9", "one")
     cluster.run(1_000)
     assert read.code == 1000
--- a/tests/control/test_storage.py
+++ b/tests/control/test_storage.py
@@ -2,8 +2,7 @@
 
 import pytest
 
-from fescueyard.control import consensus
-from fescueyard.control import models
+from fescueyard.consensus import models as consensus_models
 from fescueyard.control import storage as storages
 from fescueyard.core import codes
 from fescueyard.core import exceptions
@@ -11,20 +10,22 @@
 
 def _entries(first, last):
     return [
-        models.LogEntry(index, 1, models.CHANGE_ENTRY, b"x" * index)
+        consensus_models.LogEntry(
+            index, 1, consensus_models.CHANGE_ENTRY, b"x" * index
+        )
         for index in range(first, last + 1)
     ]
 
 
 def _create(folder):
     storage = storages.Storage(folder)
-    storage.create(lambda member_id: models.Snapshot(0, 0, [], b""))
+    storage.create(lambda member_id: consensus_models.Snapshot(0, 0, [], b""))
     storage.load()
     return storage
 
 
 def _save(storage, **fields):
-    unsaved = consensus.Unsaved(None, None, None, [])
+    unsaved = consensus_models.Unsaved(None, None, None, [])
     for name, value in fields.items():
         setattr(unsaved, name, value)
     storage.save(unsaved)
@@ -41,11 +42,11 @@
     storage = _create(tmp_path)
     for index in range(1, 301):
         _save(storage, entries=_entries(index, index))
-    _save(storage, vote=models.Vote(9, "m-other"))
+    _save(storage, vote=consensus_models.Vote(9, "m-other"))
     storage.close()
     loaded = _reload(tmp_path)
     assert loaded.entries == _entries(1, 300)
-    assert loaded.vote == models.Vote(9, "m-other")
+    assert loaded.vote == consensus_models.Vote(9, "m-other")
 
 
 def test_log_torn_at_any_byte_keeps_every_earlier_entry(tmp_path):
@@ -94,7 +95,7 @@
 def test_conflicting_entries_are_replaced(tmp_path):
     storage = _create(tmp_path)
     _save(storage, entries=_entries(1, 6))
-    newer = models.LogEntry(4, 2, models.EMPTY_ENTRY, b"")
+    newer = consensus_models.LogEntry(4, 2, consensus_models.EMPTY_ENTRY, b"")
     _save(storage, truncate_after=3, entries=[newer])
     storage.close()
     assert _reload(tmp_path).entries == [*_entries(1, 3), newer]
@@ -103,7 +104,7 @@
 def test_snapshot_drops_the_log_before_it_and_no_more(tmp_path):
     storage = _create(tmp_path)
     _save(storage, entries=_entries(1, 6))
-    snapshot = models.Snapshot(4, 1, [], b"state")
+    snapshot = consensus_models.Snapshot(4, 1, [], b"state")
     _save(storage, snapshot=snapshot)
     _save(storage, entries=_entries(7, 8))
     storage.close()
@@ -116,7 +117,7 @@
     storage = _create(tmp_path)
     _save(storage, entries=_entries(1, 6))
     storage._drop_prefix = lambda index: None
-    _save(storage, snapshot=models.Snapshot(4, 1, [], b"state"))
+    _save(storage, snapshot=consensus_models.Snapshot(4, 1, [], b"state"))
     storage.close()
     assert _reload(tmp_path).entries == _entries(5, 6)
 
