--- /dev/null
+++ b/fescueyard/limits/grantors.py
@@ -0,0 +1,95 @@
+"""Which process grants a node its tokens of a customer."""
+
+import hashlib
+
+from fescueyard.limits import models
+from fescueyard.routing import membership
+from fescueyard.routing import models as routing_models
+
+GRANTORS_PER_ZONE = 4
+
+
+def grantor_of(tables, customer, now_ms):
+    """Find the node that grants this node's tokens of a customer.
+
+    That is one of its zone. When it does not answer, this node asks the fleet
+    itself; when that does not answer either, a grantor of another zone, which
+    may still reach the fleet. That is safe, as every holder is.
+
+    :param tables: the node's tables.
+    :param customer: name of the customer.
+    :param now_ms: the present time.
+    :returns: id of the node; its own for a question to the fleet.
+    """
+    table = tables.limits
+    if table.grantors_version != tables.members.version:
+        table.grantors.clear()
+        table.grantors_version = tables.members.version
+    digest = hashlib.blake2b(customer.encode(), digest_size=1).digest()
+    shard = digest[0] % GRANTORS_PER_ZONE
+    own_id = tables.members.own.node_id
+    node_id = _grantor(tables, shard, True)
+    if node_id != own_id and not _has_failed(table, node_id, now_ms):
+        return node_id
+    if not _has_failed(table, models.FLEET_LINK, now_ms):
+        return own_id
+    node_id = _grantor(tables, shard, False)
+    return own_id if _has_failed(table, node_id, now_ms) else node_id
+
+
+def is_cut_off(tables, customer, now_ms):
+    """Say whether no grantor is left to ask.
+
+    :param tables: the node's tables.
+    :param customer: name of the customer.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    table = tables.limits
+    own_id = tables.members.own.node_id
+    if grantor_of(tables, customer, now_ms) != own_id:
+        return False
+    return _has_failed(table, models.FLEET_LINK, now_ms)
+
+
+def own_holding(tables, customer, now_ms):
+    """Find the tokens this node spends for its own calls.
+
+    :param customer: name of the customer.
+    :param now_ms: the present time.
+    :returns: :class:`~fescueyard.limits.models.Holding`.
+    """
+    grantor_id = grantor_of(tables, customer, now_ms)
+    if grantor_id == tables.members.own.node_id:
+        return tables.limits.pools.setdefault(customer, models.Holding())
+    return tables.limits.holdings.setdefault(customer, models.Holding())
+
+
+def _has_failed(table, key, now_ms):
+    link = table.links.get(key)
+    return link is not None and now_ms < link.failed_until_ms
+
+
+def _grantor(tables, shard, in_own_zone):
+    table = tables.limits
+    node_id = table.grantors.get((shard, in_own_zone))
+    if node_id is None:
+        node_id = _choose_grantor(tables.members, shard, in_own_zone)
+        table.grantors[shard, in_own_zone] = node_id
+    return node_id
+
+
+def _choose_grantor(members, shard, in_own_zone):
+    """Choose by highest hash, so that few customers move with a change."""
+    best = (b"", members.own.node_id)
+    for member in members.rows.values():
+        usable = (
+            (member.zone == members.own.zone) == in_own_zone
+            and member.role == routing_models.NODE_ROLE
+            and membership.is_alive(members, member.node_id)
+        )
+        if usable:
+            text = f"{shard}/{member.node_id}".encode()
+            digest = hashlib.blake2b(text, digest_size=8).digest()
+            best = max(best, (digest, member.node_id))
+    return best[1]
