--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
-SOURCES := fescueyard tests benchmarks demo
+SOURCES := fescueyard tests benchmarks demo build_binary.py
 
 .PHONY: demo test lint format bench binary clean
 
--- a/fescueyard/management/commands/ctl.py
+++ b/fescueyard/management/commands/ctl.py
@@ -46,14 +46,13 @@
             one when left out.
         :param change_id: id of the change, to send it again.
         """
-        api = _client(flags)
-        path = f"/v1/objects/{kind}/{name}"
-        if expected_version is None:
-            expected_version = _present_version(api, path)
-        _show(
-            api.change(
-                "PUT", path, _document(document), expected_version, change_id
-            )
+        _change_object(
+            "PUT",
+            f"{kind}/{name}",
+            _document(document),
+            expected_version,
+            change_id,
+            flags,
         )
 
     def retire(self, kind, name, expected_version=None, change_id="", **flags):
@@ -65,11 +64,14 @@
             one when left out.
         :param change_id: id of the change, to send it again.
         """
-        api = _client(flags)
-        path = f"/v1/objects/{kind}/{name}"
-        if expected_version is None:
-            expected_version = _present_version(api, path)
-        _show(api.change("DELETE", path, b"", expected_version, change_id))
+        _change_object(
+            "DELETE",
+            f"{kind}/{name}",
+            b"",
+            expected_version,
+            change_id,
+            flags,
+        )
 
     def grant_key(self, customer, key_id="", **flags):
         """Make a key for a customer and print it, this once only.
@@ -126,6 +128,16 @@
     return client.AdminClient(values)
 
 
+def _change_object(
+    method, place, document, expected_version, change_id, flags
+):
+    api = _client(flags)
+    path = f"/v1/objects/{place}"
+    if expected_version is None:
+        expected_version = _present_version(api, path)
+    _show(api.change(method, path, document, expected_version, change_id))
+
+
 def _change_member(method, member_id, flags):
     path = f"/v1/members/{member_id}"
     _show(_client(flags).change(method, path, b"", 0))
--- a/tests/faults/test_nodes.py
+++ b/tests/faults/test_nodes.py
@@ -8,30 +8,19 @@
 
 import pytest
 
-from demo import fleet as fleets
 from fescueyard.management import client
 
-ZONES = ("zone-a", "zone-b", "zone-c")
 WITHDRAWN_WITHIN_S = 5.0
 
 
 @pytest.fixture(scope="module")
-def running(tmp_path_factory):
-    """Give a control process and a node a zone; tests restart what they end.
+def running(small_fleet):
+    """Give a fleet whose claim groups have spread over its nodes.
 
-    The claim groups have had time to spread over the nodes.
+    Tests start again what they end.
     """
-    fleet = fleets.Fleet(tmp_path_factory.mktemp("fleet"))
-    try:
-        fleet.add_control(ZONES[0])
-        for zone in ZONES:
-            fleet.add_node(zone, "orders")
-        fleet.configure("orders")
-        fleet.await_ready("orders", fleet.keys["board"])
-        _await_claims(fleet)
-        yield fleet
-    finally:
-        fleet.kill()
+    _await_claims(small_fleet)
+    return small_fleet
 
 
 def _await_claims(fleet):
