Judge the handover of leadership in simulated time

Cause: the process test had a bound of 0.8 s of real time, which a busy machine may miss.

Change: in simulated time a new leader has to be there 100 ms before the shortest election timeout, which is stricter; the process test checks the exit code, the new leader and the last line of the log. Without the offer the new test fails (no leader by then).

--- a/tests/consensus/test_consensus.py
+++ b/tests/consensus/test_consensus.py
@@ -338,3 +338,13 @@
     read = cluster.read("m9", "one")
     cluster.run(1_000)
     assert read.code == 1000
+
+
+def test_planned_stop_hands_over_sooner_than_any_election_timeout():
+    cluster = harness.Cluster(3, 12)
+    cluster.run(3_000)
+    leader_id = cluster.leader()
+    agreement = cluster.tables[leader_id].consensus
+    assert elections.hand_over(agreement, cluster.now_ms)
+    cluster.run(roles.ELECTION_TIMEOUT_MIN_MS - 100)
+    assert cluster.leader() not in (None, leader_id)
--- a/tests/faults/test_configuration.py
+++ b/tests/faults/test_configuration.py
@@ -167,12 +167,12 @@
     assert codes_seen.count(codes.VERSION_CONFLICT) == 7
 
 
-def test_planned_stop_hands_over_at_once(three):
+def test_planned_stop_hands_over(three):
     leader = _await_leader(three, three.controls)
     leader.process.terminate()
     assert leader.process.wait(10) == 0
     others = [row for row in three.controls if row is not leader]
-    started_s = time.monotonic()
     _await_leader(three, others)
-    assert time.monotonic() - started_s < 0.8, "waited for an election"
+    log = (three.folder / f"{leader.name}.log").read_text()
+    assert log.rstrip().endswith("[control] Control stopped.")
     three.start_control(leader)
