--- a/tests/once/test_once.py
+++ b/tests/once/test_once.py
@@ -274,3 +274,22 @@
         if tables.claims.groups[int(name)].rows:
             return int(name), group.replicas
     raise AssertionError("no claim is kept anywhere")
+
+
+def test_group_without_majority_starts_afresh_after_the_retention():
+    world = _fleet(claim_retention_ms=1_000, deadline_max_ms=2_000)
+    _order(world, NODES[0], 1)
+    world.run(300)
+    number, replicas = _group_with_claims(world)
+    for name in replicas[:2]:
+        world.kill(name)
+    left = replicas[2]
+    world.run(20_000)
+    generation = _groups(world)[str(number)].generation
+    world.run(60_000)
+    again = _order(world, left, 1)
+    world.run(1_500)
+    group = _groups(world)[str(number)]
+    assert group.fresh_generation > generation
+    # The retention has passed, so this is another order.
+    assert again.code == codes.OK.number
