Let only a call that holds a claim go on without its caller

Cause: an idempotent call with an idempotency key takes no claim, yet went on after its caller had left, which is wasted work.

Change: the test is for the claim itself.

--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -106,7 +106,7 @@
         return
     call = tables.calls.rows[call_id]
     call.caller_left = True
-    if call.idempotency_key and call.stage is models.Stage.ATTEMPT:
+    if call_id in tables.claims.held:
         # It goes on, so that a resend finds its answer.
         return
     _give_up(tables, call, codes.CANCELLED, codes.CANCELLED_RUNNING, now_ms)
