--- a/fescueyard/admission/messages.py
+++ b/fescueyard/admission/messages.py
@@ -23,6 +23,11 @@
     :param chain: the call chain.
     :param fingerprint: digest of the request, for quarantine.
     :param suspect: the sender knows of a crash that it was seen at.
+    :param caller_service: service on whose VM the request began; empty when
+        not known.
+    :param request_id: the caller's id of the request, for logs.
+    :param objective_ms: latency objective left when it was sent; 0 for none.
+    :param is_call: a backend server made it while it ran another request.
     """
 
     attempt_id: int
@@ -36,6 +41,10 @@
     chain: retry_messages.Chain
     fingerprint: bytes
     suspect: bool
+    caller_service: str = ""
+    request_id: str = ""
+    objective_ms: float = 0.0
+    is_call: bool = False
 
 
 @wire.message(61)
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -14,6 +14,11 @@
     :param slots: requests it runs at once.
     :param expires_at_ms: silence until then means it is gone.
     :param leaving: it takes no new work.
+    :param instance: its id, which it checks on each request; empty for none.
+    :param born_ms: its start, by its own clock; 0 when not told.
+    :param sequence: number of its latest announcement.
+    :param connect_failures: connections in a row that it did not accept.
+    :param cold_until_ms: it is slow until then.
     """
 
     service: str
@@ -21,6 +26,11 @@
     slots: int
     expires_at_ms: float
     leaving: bool
+    instance: str = ""
+    born_ms: int = 0
+    sequence: int = 0
+    connect_failures: int = 0
+    cold_until_ms: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from fescueyard.admission import announcements
 from fescueyard.admission import limiter
 from fescueyard.admission import messages
 from fescueyard.admission import models
@@ -17,10 +18,17 @@
 from fescueyard.core import dispatch
 from fescueyard.core import effects
 from fescueyard.core import http
+from fescueyard.core import logs
 from fescueyard.core import timers
 from fescueyard.retries import quarantine
 from fescueyard.routing import membership
 
+LOG = logs.PartLogger("admission")
+
+# A backend server stops work at its deadline by itself; its own answer to
+# that is worth waiting for.
+RUN_GRACE_MS = 60
+CONNECT_FAILURES_MAX = 2
 RETRY_AFTER_MIN_MS = 200
 RETRY_AFTER_MAX_MS = 10_000
 RETRY_AFTER_SPREAD = 1.0
@@ -53,7 +61,9 @@
     """Event: time to see whether the backend server still renews."""
 
 
-def announce(tables, service, address, slots, ttl_ms, now_ms):
+def announce(
+    tables, service, address, slots, ttl_ms, now_ms, fresh=False
+):
     """Take in the announcement of the backend server, or its renewal.
 
     :param tables: the node's tables.
@@ -62,12 +72,14 @@
     :param slots: requests it runs at once.
     :param ttl_ms: silence for so long means it is gone.
     :param now_ms: the present time.
+    :param fresh: another process than the one known announced itself.
     """
     table = tables.runs
     known = table.backend
     expires_at_ms = now_ms + ttl_ms
     same = (
         known is not None
+        and not fresh
         and not known.leaving
         and (known.service, known.address, known.slots)
         == (service, address, slots)
@@ -83,6 +95,80 @@
     timers.schedule(tables.timers, expires_at_ms, BackendExpiry())
 
 
+def take_announcement(tables, told, ttl_ms, now_ms):
+    """Take in what a backend server that has an id says of itself.
+
+    :param tables: the node's tables.
+    :param told: :class:`~fescueyard.admission.announcements.Announcement`.
+    :param ttl_ms: silence for so long means it is gone.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    backend = table.backend
+    if announcements.is_outdated(backend, told):
+        LOG.info(
+            "announcement_outdated",
+            instance=told.instance,
+            born_ms=told.born_ms,
+            sequence=told.sequence,
+            known=backend.instance,
+            known_born_ms=backend.born_ms,
+            known_sequence=backend.sequence,
+        )
+        return
+    same = (
+        backend is not None
+        and backend.instance == told.instance
+        and backend.born_ms == told.born_ms
+    )
+    if same and backend.leaving and not told.leaving:
+        # It has left, or its process has ended; only a later one is new.
+        if not backend.connect_failures:
+            return
+    known = same and not backend.leaving and not told.leaving
+    if not known:
+        LOG.info(
+            "backend_announced",
+            instance=told.instance,
+            service=told.service,
+            slots=told.slots,
+            sequence=told.sequence,
+            leaving=told.leaving,
+            cold_ms=round(told.cold_ms),
+        )
+    if told.leaving:
+        leave(tables, now_ms)
+    else:
+        announce(
+            tables,
+            told.service,
+            told.address,
+            told.slots,
+            ttl_ms,
+            now_ms,
+            fresh=not same,
+        )
+    if table.backend is not None:
+        table.backend.instance = told.instance
+        table.backend.born_ms = told.born_ms
+        table.backend.sequence = told.sequence
+        table.backend.connect_failures = 0
+        table.backend.cold_until_ms = now_ms + told.cold_ms
+
+
+def backend_left(tables, instance, now_ms):
+    """Take in that a backend server says it is gone.
+
+    :param tables: the node's tables.
+    :param instance: its id; another one's word changes nothing.
+    :param now_ms: the present time.
+    """
+    backend = tables.runs.backend
+    if backend is not None and backend.instance == instance:
+        LOG.info("backend_left", instance=instance)
+        leave(tables, now_ms)
+
+
 def leave(tables, now_ms):
     """Stop new work for the backend server; what runs goes on.
 
@@ -130,7 +216,12 @@
         return
     queueing.rejoin(table, row)
     queueing.enqueue(table, row)
-    timers.schedule(tables.timers, row.deadline_at_ms, RunDeadline(row.run_id))
+    grace_ms = RUN_GRACE_MS if tables.routed else 0
+    timers.schedule(
+        tables.timers,
+        row.deadline_at_ms + grace_ms,
+        RunDeadline(row.run_id),
+    )
     _start_what_may(tables, now_ms)
     _bound_queue(tables, row, now_ms)
 
@@ -168,6 +259,7 @@
         tables.metrics.count("late_backend_answers")
         return
     crash_id = ""
+    _note_connection(tables, code, now_ms)
     if code is codes.BACKEND_FAILED:
         crash_id = quarantine.note_crash(tables, row.forward, now_ms)
     _note_end(tables, row, now_ms)
@@ -175,6 +267,21 @@
     _start_what_may(tables, now_ms)
 
 
+def _note_connection(tables, code, now_ms):
+    """Stop new work for a backend server that accepts no connections."""
+    backend = tables.runs.backend
+    if backend is None or not tables.routed:
+        return
+    if code is not codes.CONNECT_FAILED:
+        backend.connect_failures = 0
+        return
+    backend.connect_failures += 1
+    if backend.connect_failures >= CONNECT_FAILURES_MAX:
+        if not backend.leaving:
+            LOG.warning("backend_unreachable", instance=backend.instance)
+        leave(tables, now_ms)
+
+
 def find_running(tables, token):
     """Find the run that a call token stands for.
 
@@ -358,9 +465,20 @@
     request = http.HttpRequest(
         forward.request.method,
         forward.request.target,
-        forward.request.headers + _own_headers(row, now_ms),
+        forward.request.headers + _own_headers(tables, row, now_ms),
         forward.request.body,
     )
+    LOG.decision(
+        "started",
+        request=forward.request_id,
+        attempt=forward.attempt_id,
+        peer=row.peer_id,
+        instance=table.backend.instance,
+        waited_ms=round(now_ms - row.queued_at_ms),
+        left_ms=round(row.deadline_at_ms - now_ms),
+        running=len(table.running),
+        queued=table.queued_count,
+    )
     tables.effects.append(
         effects.StartRun(
             row.run_id, table.backend.address, request, forward.idempotent
@@ -368,8 +486,10 @@
     )
 
 
-def _own_headers(row, now_ms):
+def _own_headers(tables, row, now_ms):
     left_ms = max(0, int(row.deadline_at_ms - now_ms))
+    if tables.routed:
+        return _routed_headers(tables, row, left_ms)
     headers = [
         http.Header(TOKEN_HEADER, row.token),
         http.Header(DEADLINE_HEADER, str(left_ms)),
@@ -380,6 +500,22 @@
     return headers
 
 
+def _routed_headers(tables, row, left_ms):
+    names = tables.interface.names
+    forward = row.forward
+    headers = [http.Header(names.deadline_ms, str(left_ms))]
+    if forward.customer:
+        headers.append(http.Header(names.customer, forward.customer))
+    if forward.caller_service:
+        headers.append(
+            http.Header(names.caller_service, forward.caller_service)
+        )
+    instance = tables.runs.backend.instance
+    if instance:
+        headers.append(http.Header(names.expected_instance, instance))
+    return headers
+
+
 def _abort(tables, row, code, now_ms):
     tables.effects.append(effects.AbortRun(row.run_id))
     _note_end(tables, row, now_ms)
@@ -414,6 +550,20 @@
     table.running.pop(row.run_id, None)
     table.by_token.pop(row.token, None)
     tables.metrics.count(f"runs_{code.name}")
+    LOG.decision(
+        "run_ended",
+        request=row.forward.request_id,
+        attempt=row.forward.attempt_id,
+        peer=row.peer_id,
+        code=code.number,
+        reason=code.name,
+        status=None if answer is None else answer.status,
+        started=row.started_at_ms is not None,
+        running=len(table.running),
+        queued=table.queued_count,
+        limit=int(table.limiter.limit),
+        priority=row.forward.priority,
+    )
     told = messages.ForwardAnswer(
         row.forward.attempt_id,
         code.number,
--- a/fescueyard/conf/checks.py
+++ b/fescueyard/conf/checks.py
@@ -46,7 +46,8 @@
 def _check_node(values: settings.NodeSettings):
     problems = _check_process(values)
     host = values.backend_address.rpartition(":")[0]
-    if not ipaddress.ip_address(host).is_loopback:
+    loopback = ipaddress.ip_address(host).is_loopback
+    if not loopback and not values.backend_address_guarded:
         problems.append(
             Problem(
                 "conf.E003",
@@ -95,7 +96,8 @@
             )
         )
     try:
-        operators.load(values.operators_file)
+        if values.operators_file or not values.admin_address_guarded:
+            operators.load(values.operators_file)
     except exceptions.SettingsError as error:
         problems.append(
             Problem(
@@ -104,6 +106,15 @@
                 "Make a line with `fescueyard operator_token NAME`.",
             )
         )
+    if values.founders and values.voters_max < len(values.founders):
+        problems.append(
+            Problem(
+                "conf.E011",
+                f"{len(values.founders)} founders but voters_max "
+                f"{values.voters_max}",
+                "Every founder has a vote: name fewer, or raise voters_max.",
+            )
+        )
     if values.join and not values.control_addresses:
         problems.append(
             Problem(
--- a/fescueyard/conf/settings.py
+++ b/fescueyard/conf/settings.py
@@ -22,6 +22,7 @@
     str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 ]
 ByteCount = typing.Annotated[int, pydantic.Field(ge=1024, le=16 * 1024**2)]
+PositiveMs = typing.Annotated[int, pydantic.Field(ge=1)]
 LogLevel = typing.Literal["debug", "info", "warning", "error"]
 
 SECRET_FIELDS = ("cluster_secret", "operator_token")
@@ -43,6 +44,8 @@
     :param cluster_secret_file: file that holds the secret instead.
     :param dump_folder: folder for dumps on SIGUSR1; empty logs them.
     :param log_level: least severe log written.
+    :param metrics_address: ``host:port`` that serves the metrics as text;
+        empty for none.
     """
 
     __pydantic_config__ = _STRICT
@@ -58,6 +61,7 @@
     cluster_secret_file: str = ""
     dump_folder: str = ""
     log_level: LogLevel = defaults.LOG_LEVEL
+    metrics_address: AddressText | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -68,6 +72,20 @@
     :param caller_address: ``host:port`` for callers.
     :param backend_address: ``host:port`` for the VM's own backend server;
         has to be a loopback address.
+    :param backend_address_guarded: the VM's network lets nobody but its own
+        backend server reach ``backend_address``, so that it need not be a
+        loopback address.
+    :param ready_address: ``host:port`` that answers whether callers should
+        use this node; empty for none.
+    :param caller_interface: ``services`` takes calls as ``/service/path``,
+        ``routes`` by the configured routes.
+    :param service: service of this VM's backend server; callers on this VM
+        count as this service.
+    :param announcement_ttl_ms: silence of the backend server for so long
+        means that it is gone, where its announcement says nothing.
+    :param stop_timeout_ms: a planned stop takes no longer.
+    :param leave_notice_ms: time between saying that the node is not ready and
+        refusing callers, in a planned stop.
     :param body_bytes_max: largest request body.
     :param answer_bytes_max: largest answer body.
     """
@@ -77,6 +95,13 @@
     node_id: str = ""
     caller_address: AddressText
     backend_address: AddressText
+    backend_address_guarded: bool = False
+    ready_address: AddressText | None = None
+    caller_interface: typing.Literal["services", "routes"] = "services"
+    service: str = ""
+    announcement_ttl_ms: PositiveMs = defaults.ANNOUNCEMENT_TTL_MS
+    stop_timeout_ms: PositiveMs = defaults.STOP_TIMEOUT_MS
+    leave_notice_ms: typing.Annotated[int, pydantic.Field(ge=0)] = 0
     body_bytes_max: ByteCount = defaults.BODY_BYTES_MAX
     answer_bytes_max: ByteCount = defaults.ANSWER_BYTES_MAX
 
@@ -89,15 +114,32 @@
     :param admin_address: ``host:port`` of the administration API.
     :param operators_file: file with a line ``name sha256-of-token`` for each
         operator.
+    :param admin_address_guarded: the network lets only operators reach
+        ``admin_address``, so that no token is asked for.
     :param join: start with a new data folder and ask to become a member.
+    :param founders: ``address`` of each control VM that founds a new cluster,
+        the same on all of them; used with an empty data folder only, and
+        never again after the first start.
+    :param repairs_members: admit applicants, and replace voters that stay
+        gone, without an operator.
+    :param voters_max: most members with a vote.
+    :param keeps_claims: assign replicas of claims; without, requests with an
+        idempotency key are refused.
     """
 
     __pydantic_config__ = _STRICT
 
     data_folder: str
     admin_address: AddressText
-    operators_file: str
+    operators_file: str = ""
+    admin_address_guarded: bool = False
     join: bool = False
+    founders: list[AddressText] = dataclasses.field(default_factory=list)
+    repairs_members: bool = False
+    voters_max: typing.Annotated[int, pydantic.Field(ge=1, le=9)] = (
+        defaults.VOTERS_MAX
+    )
+    keeps_claims: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fescueyard/configuration/models.py
+++ b/fescueyard/configuration/models.py
@@ -19,6 +19,10 @@
 Natural = typing.Annotated[int, pydantic.Field(ge=0)]
 Ratio = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
 Rate = typing.Annotated[float, pydantic.Field(gt=0, le=1e7)]
+TIMEOUT_MS_MAX = 600_000
+STALENESS_MS_MAX = 86_400_000
+# Name of the listener object that holds for callers' requests.
+CALLERS = "callers"
 
 
 class Kind(enum.Enum):
@@ -30,6 +34,8 @@
     CUSTOMER = "customer"
     KEY = "key"
     CLAIM_GROUP = "claim_group"
+    ROUTE = "route"
+    LISTENER = "listener"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -59,6 +65,12 @@
     :param quarantine_ms: how long it stays quarantined.
     :param claim_retention_ms: how long a finished answer is kept for a
         resend with the same idempotency key.
+    :param retry_budget_ratio: routed requests that may reach a second backend
+        server, as a share of the requests for the service over the fleet.
+    :param retry_budget_slack: how many more may do so in any short span.
+    :param cut_off_rate_share: part of a customer's rate, over all nodes
+        together, that nodes without a way to the control VMs go on granting;
+        0 refuses instead.
     """
 
     __pydantic_config__ = _STRICT
@@ -77,11 +89,16 @@
     ] = 2.0
     slow_start_ms: Natural = 5_000
     key_staleness_max_ms: typing.Annotated[
-        int, pydantic.Field(ge=1_000, le=86_400_000)
+        int, pydantic.Field(ge=1_000, le=STALENESS_MS_MAX)
     ] = 4_000
     crash_max: typing.Annotated[int, pydantic.Field(ge=1, le=10)] = 2
     quarantine_ms: Positive = 600_000
     claim_retention_ms: Positive = 600_000
+    retry_budget_ratio: Ratio = 0.1
+    retry_budget_slack: typing.Annotated[
+        float, pydantic.Field(ge=0, le=100_000)
+    ] = 20.0
+    cut_off_rate_share: Ratio = 0.0
 
     def __post_init__(self):
         if self.priority_default < self.priority_ceiling:
@@ -101,6 +118,8 @@
     :param profile: name of the profile.
     :param open_routes: path prefixes that need no key.
     :param idempotent_methods: methods that may run twice without harm.
+    :param connections_max: most connections to one backend server; 0 leaves
+        it to the node.
     """
 
     __pydantic_config__ = _STRICT
@@ -110,6 +129,7 @@
     idempotent_methods: list[str] = dataclasses.field(
         default_factory=lambda: ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]
     )
+    connections_max: Natural = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -129,19 +149,22 @@
     """A tenant of a firm.
 
     :param firm: name of the firm.
-    :param rate_per_s: requests a second over the whole fleet.
+    :param rate_per_s: requests a second over the whole fleet; None for no
+        limit.
     :param burst: requests above the rate that may come at once.
     :param share: weight against the firm's other customers.
     :param services: services the customer may call; empty means all.
+    :param priority: priority of its requests in place of the route's.
     """
 
     __pydantic_config__ = _STRICT
 
     firm: str
-    rate_per_s: Rate
+    rate_per_s: Rate | None
     burst: Positive
     share: Positive = 1
     services: list[str] = dataclasses.field(default_factory=list)
+    priority: Priority | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -177,6 +200,72 @@
     fresh_generation: Natural
 
 
+@dataclasses.dataclass(frozen=True)
+class RoutePart:
+    """A service that takes part of a route's requests.
+
+    :param service: name of the service.
+    :param weight: its part against the weights of the others.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    service: str
+    weight: typing.Annotated[float, pydantic.Field(ge=0, le=1e9)]
+
+
+@dataclasses.dataclass(frozen=True)
+class Route:
+    """Requests of one host and path prefix, and where they go.
+
+    :param host: value of the ``Host`` header, in lower case.
+    :param path_prefix: the longest one that begins the path wins.
+    :param parts: services that share the requests.
+    :param idempotent: whether a request may run more than once.
+    :param timeout_ms: longest time a caller is kept waiting.
+    :param objective_ms: latency objective of a request.
+    :param attempts_max: most backend servers that get one request.
+    :param priority: 0 is the most important.
+    :param public: whether requests need no key.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    host: typing.Annotated[str, pydantic.Field(min_length=1)]
+    path_prefix: typing.Annotated[str, pydantic.Field(pattern=r"^/")]
+    parts: list[RoutePart]
+    idempotent: bool
+    timeout_ms: typing.Annotated[
+        float, pydantic.Field(gt=0, le=TIMEOUT_MS_MAX)
+    ]
+    objective_ms: typing.Annotated[float, pydantic.Field(gt=0)]
+    attempts_max: Positive = 1
+    priority: Natural = 3
+    public: bool = False
+
+    def __post_init__(self):
+        if not self.parts:
+            raise ValueError("a route needs a service")
+
+
+@dataclasses.dataclass(frozen=True)
+class Listener:
+    """What callers may send, and how long they may take.
+
+    :param header_bytes_max: largest request line and headers together.
+    :param body_bytes_max: largest body.
+    :param header_timeout_ms: longest time for the headers to arrive.
+    :param idle_timeout_ms: how long a connection may stay unused.
+    """
+
+    __pydantic_config__ = _STRICT
+
+    header_bytes_max: Positive
+    body_bytes_max: Natural
+    header_timeout_ms: Positive
+    idle_timeout_ms: Positive
+
+
 _CLASSES = {
     Kind.PROFILE: Profile,
     Kind.SERVICE: Service,
@@ -184,6 +273,8 @@
     Kind.CUSTOMER: Customer,
     Kind.KEY: Key,
     Kind.CLAIM_GROUP: ClaimGroup,
+    Kind.ROUTE: Route,
+    Kind.LISTENER: Listener,
 }
 _ADAPTERS = {kind: pydantic.TypeAdapter(cls) for kind, cls in _CLASSES.items()}
 
--- a/fescueyard/configuration/replica.py
+++ b/fescueyard/configuration/replica.py
@@ -103,9 +103,11 @@
     if told.whole:
         _install_whole(table, told)
     else:
+        known_version = state.version
         for row in told.objects:
-            # An answer to an earlier question may overlap a later one.
-            if row.version > state.version:
+            # An answer to an earlier question may overlap a later one, and a
+            # whole document sets many objects in one version.
+            if row.version > known_version:
                 state.put(row)
                 state.remember(row)
     table.state.version = told.version
--- a/fescueyard/configuration/state.py
+++ b/fescueyard/configuration/state.py
@@ -11,8 +11,19 @@
 from fescueyard.configuration import messages
 from fescueyard.configuration import models
 from fescueyard.core import codes
+from fescueyard.core import exceptions
 from fescueyard.core import wire
 
+# Kinds that a whole document sets; those it does not name are retired.
+DOCUMENT_KINDS = (
+    models.Kind.PROFILE,
+    models.Kind.FIRM,
+    models.Kind.SERVICE,
+    models.Kind.CUSTOMER,
+    models.Kind.KEY,
+    models.Kind.ROUTE,
+    models.Kind.LISTENER,
+)
 JOURNAL_ROWS_MAX = 4_000
 CHANGE_IDS_MAX = 20_000
 
@@ -38,6 +49,52 @@
     document: bytes
 
 
+@dataclasses.dataclass(slots=True)
+class DocumentObject:
+    """One object of a whole document.
+
+    :param kind: value of :class:`~fescueyard.configuration.models.Kind`.
+    :param name: the object's name.
+    :param document: JSON.
+    """
+
+    kind: str
+    name: str
+    document: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class DocumentChange:
+    """A whole configuration in place of the present one.
+
+    :param change_id: digest of the source; a resend has the same.
+    :param operator: who asked.
+    :param number: the operators' own number of this document; it grows.
+    :param base_number: number of the document it builds on; 0 for none.
+    :param source: the document as the operator sent it, compressed.
+    :param objects: every object of the document.
+    """
+
+    change_id: str
+    operator: str
+    number: int
+    base_number: int
+    source: bytes
+    objects: list[DocumentObject]
+
+
+@dataclasses.dataclass(slots=True)
+class AppliedDocument:
+    """The document in force.
+
+    :param number: the operators' number of it; 0 for none.
+    :param source: the document as it was sent, compressed.
+    """
+
+    number: int
+    source: bytes
+
+
 @dataclasses.dataclass(slots=True)
 class ChangeResult:
     """What became of a change.
@@ -69,6 +126,7 @@
     version: int
     objects: list[messages.ObjectVersion]
     kept_results: list[KeptResult]
+    applied_document: AppliedDocument
 
 
 class ConfigurationState:
@@ -85,6 +143,7 @@
         self.journal = collections.deque()
         self.journal_floor = 0
         self.kept_results = collections.OrderedDict()
+        self.applied_document = AppliedDocument(0, b"")
 
     def find(self, kind, name):
         """Look up an object.
@@ -159,6 +218,82 @@
     return result
 
 
+def apply_document(state, change, version):
+    """Apply a whole document.
+
+    :param state: :class:`ConfigurationState`, changed in place.
+    :param change: :class:`DocumentChange`.
+    :param version: version of the configuration if the change is taken.
+    :returns: :class:`ChangeResult`; a resend gets the first one again, also
+        when it was a refusal.
+    """
+    kept = state.kept_results.get(change.change_id)
+    if kept is not None:
+        return kept.result
+    present = state.applied_document.number
+    if change.base_number != present or change.number <= present:
+        result = _refusal(
+            codes.VERSION_CONFLICT, present, f"document {present} is in force"
+        )
+    else:
+        for row in _document_rows(state, change, version):
+            state.put(row)
+            state.remember(row)
+        state.version = max(state.version, version)
+        state.applied_document = AppliedDocument(change.number, change.source)
+        result = ChangeResult(codes.CHANGED.number, change.number, "")
+    digest = bytes.fromhex(change.change_id)
+    _keep_result(state, KeptResult(change.change_id, digest, result))
+    return result
+
+
+def check_references(rows):
+    """Check that a document's objects refer to each other only.
+
+    :param rows: list of :class:`DocumentObject`.
+    :raises ChangeError: when an object is named twice or one is missing.
+    """
+    named = set()
+    for row in rows:
+        place = (models.Kind(row.kind), row.name)
+        if place in named:
+            raise exceptions.ChangeError(f"{row.kind} {row.name!r} is twice")
+        named.add(place)
+    for row in rows:
+        kind = models.Kind(row.kind)
+        value = models.parse_document(kind, row.document)
+        for target_kind, name in _references(kind, value):
+            if (target_kind, name) not in named:
+                raise exceptions.ChangeError(
+                    f"{row.kind} {row.name!r} names the missing "
+                    f"{target_kind.value} {name!r}",
+                    codes.BROKEN_REFERENCE,
+                )
+
+
+def _document_rows(state, change, version):
+    """List the object versions that a document changes or retires."""
+    found = []
+    named = set()
+    for each in change.objects:
+        kind = models.Kind(each.kind)
+        named.add((kind, each.name))
+        known = state.rows[kind].get(each.name)
+        if known is None or known.document != each.document:
+            found.append(
+                messages.ObjectVersion(
+                    each.kind, each.name, version, each.document
+                )
+            )
+    for kind in DOCUMENT_KINDS:
+        for name in state.rows[kind]:
+            if (kind, name) not in named:
+                found.append(
+                    messages.ObjectVersion(kind.value, name, version, b"")
+                )
+    return found
+
+
 def objects_since(state, version):
     """List what changed after a version.
 
@@ -200,6 +335,7 @@
         state.version,
         all_objects(state),
         list(state.kept_results.values()),
+        state.applied_document,
     )
     return wire.encode_plain(record)
 
@@ -219,6 +355,7 @@
     state.forget_journal()
     for kept in record.kept_results:
         state.kept_results[kept.change_id] = kept
+    state.applied_document = record.applied_document
     return state
 
 
@@ -260,6 +397,8 @@
         return found
     if kind is models.Kind.KEY:
         return [(models.Kind.CUSTOMER, value.customer)]
+    if kind is models.Kind.ROUTE:
+        return [(models.Kind.SERVICE, part.service) for part in value.parts]
     return []
 
 
--- a/fescueyard/consensus/elections.py
+++ b/fescueyard/consensus/elections.py
@@ -150,5 +150,5 @@
     table.progress.clear()
     table.leading_since_ms = now_ms
     table.term_start_index = log.last_index(table) + 1
-    replication.track_progress(table)
+    replication.track_progress(table, now_ms)
     replication.propose(table, models.EMPTY_ENTRY, b"", now_ms)
--- a/fescueyard/consensus/models.py
+++ b/fescueyard/consensus/models.py
@@ -8,6 +8,9 @@
 CHANGE_ENTRY = 1
 MEMBERS_ENTRY = 2
 EMPTY_ENTRY = 3
+DOCUMENT_ENTRY = 4
+
+VOTERS_MAX = 5
 
 
 class Role(enum.Enum):
@@ -96,12 +99,14 @@
     :param match_index: last entry known to be saved there.
     :param acked_round: latest round it answered.
     :param busy_until_ms: no further entries are sent before this.
+    :param heard_at_ms: when it last answered, or the leadership began.
     """
 
     next_index: int
     match_index: int = 0
     acked_round: int = 0
     busy_until_ms: float = 0.0
+    heard_at_ms: float = 0.0
 
 
 @dataclasses.dataclass
@@ -137,6 +142,7 @@
     :param vote: term and vote.
     :param snapshot: latest snapshot.
     :param entries: log entries after the snapshot.
+    :param voters_max: learners beyond so many voters stay learners.
     """
 
     member_id: str
@@ -166,3 +172,4 @@
     vote_changed: bool = False
     snapshot_changed: bool = False
     truncate_after: int | None = None
+    voters_max: int = VOTERS_MAX
--- a/fescueyard/consensus/replication.py
+++ b/fescueyard/consensus/replication.py
@@ -13,7 +13,8 @@
 HEARTBEAT_MS = 100
 ENTRIES_PER_MESSAGE_MAX = 256
 SNAPSHOT_RESEND_MS = 2_000
-VOTERS_MAX = 5
+# A learner gets a vote only while it answers.
+ANSWERING_MS = 1_000
 
 
 def propose(table, kind, payload, now_ms):
@@ -31,7 +32,7 @@
     table.entries.append(entry)
     if kind == models.MEMBERS_ENTRY:
         log.refresh_members(table)
-        track_progress(table)
+        track_progress(table, now_ms)
     send_entries(table, now_ms)
     return index
 
@@ -68,12 +69,16 @@
     return propose(table, models.MEMBERS_ENTRY, payload, now_ms)
 
 
-def track_progress(table):
-    """Keep a row of progress for each other member."""
+def track_progress(table, now_ms):
+    """Keep a row of progress for each other member.
+
+    :param now_ms: the present time.
+    """
     for member in table.members:
         if member.member_id != table.member_id:
             table.progress.setdefault(
-                member.member_id, models.Progress(log.last_index(table))
+                member.member_id,
+                models.Progress(log.last_index(table), heard_at_ms=now_ms),
             )
     known = {member.member_id for member in table.members}
     for member_id in list(table.progress):
@@ -87,14 +92,12 @@
     Learners beyond that stay what they are: they answer pulls, and one takes
     the place of a voter that is removed.
     """
-    if sum(member.voter for member in table.members) >= VOTERS_MAX:
+    if sum(member.voter for member in table.members) >= table.voters_max:
         return
     for member in table.members:
         if member.voter:
             continue
-        progress = table.progress.get(member.member_id)
-        caught_up = progress and progress.match_index >= table.commit_index
-        if caught_up and may_change_members(table):
+        if has_caught_up(table, member, now_ms) and may_change_members(table):
             promoted = dataclasses.replace(member, voter=True)
             members = [
                 promoted if each is member else each for each in table.members
@@ -103,6 +106,19 @@
             return
 
 
+def has_caught_up(table, member, now_ms):
+    """Say whether a member answers and holds all that is committed.
+
+    :param member: the member.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    progress = table.progress.get(member.member_id)
+    if progress is None or now_ms - progress.heard_at_ms > ANSWERING_MS:
+        return False
+    return progress.match_index >= table.commit_index
+
+
 def send_entries(table, now_ms, heartbeat=False):
     """Begin a round: send each member what it lacks.
 
@@ -261,6 +277,7 @@
     if message.term != table.vote.term:
         return
     progress.acked_round = max(progress.acked_round, message.round_id)
+    progress.heard_at_ms = now_ms
     lease.confirm(table)
     if message.success:
         progress.busy_until_ms = 0.0
--- a/fescueyard/consensus/systems.py
+++ b/fescueyard/consensus/systems.py
@@ -14,7 +14,15 @@
 from fescueyard.consensus import roles
 
 
-def new_table(member_id, vote, snapshot, entries, seed, now_ms):
+def new_table(
+    member_id,
+    vote,
+    snapshot,
+    entries,
+    seed,
+    now_ms,
+    voters_max=models.VOTERS_MAX,
+):
     """Make the table of a member from what its disk holds.
 
     :param member_id: identity of the data folder.
@@ -23,10 +31,16 @@
     :param entries: saved entries after the snapshot.
     :param seed: seed of the election timeouts.
     :param now_ms: the present time.
+    :param voters_max: most members with a vote.
     :returns: :class:`models.ConsensusTable`.
     """
     table = models.ConsensusTable(
-        member_id, vote, snapshot, entries, random.Random(seed)
+        member_id,
+        vote,
+        snapshot,
+        entries,
+        random.Random(seed),
+        voters_max=voters_max,
     )
     table.commit_index = snapshot.index
     table.saved_index = log.last_index(table)
--- a/fescueyard/control/admin.py
+++ b/fescueyard/control/admin.py
@@ -1,8 +1,11 @@
 """The administration API: HTTP and JSON for operators."""
 
 import dataclasses
+import hashlib
 import json
+import zlib
 
+import pydantic
 from werkzeug import exceptions as http_exceptions
 from werkzeug import routing
 
@@ -18,11 +21,13 @@
 EXPECTED_VERSION_HEADER = "fescueyard-expected-version"
 RETRY_AFTER_MS = 1_000
 CHANGE_ID_LENGTH_MAX = 128
+ZLIB_LEVEL = 6
 
 _MAP = routing.Map(
     [
         routing.Rule("/v1/objects/<kind>", endpoint="list"),
         routing.Rule("/v1/objects/<kind>/<name>", endpoint="object"),
+        routing.Rule("/v1/document", endpoint="document"),
         routing.Rule("/v1/members", endpoint="members"),
         routing.Rule("/v1/members/<member_id>", endpoint="member"),
         routing.Rule("/v1/status", endpoint="status"),
@@ -64,6 +69,43 @@
     change: states.Change
 
 
+@dataclasses.dataclass(frozen=True)
+class ApplyDocument:
+    """Put a whole document in place of the present configuration."""
+
+    change: states.DocumentChange
+
+
+@dataclasses.dataclass(frozen=True)
+class ReadDocument:
+    """Read the document in force, as it was sent."""
+
+
+@dataclasses.dataclass(frozen=True)
+class _ObjectModel:
+    """One object in the body of ``PUT /v1/document``."""
+
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    kind: str
+    name: str
+    document: dict
+
+
+@dataclasses.dataclass(frozen=True)
+class _DocumentModel:
+    """Body of ``PUT /v1/document``."""
+
+    __pydantic_config__ = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    number: models.Positive
+    base_number: models.Natural
+    objects: list[_ObjectModel]
+
+
+_DOCUMENT_ADAPTER = pydantic.TypeAdapter(_DocumentModel)
+
+
 @dataclasses.dataclass(frozen=True)
 class ChangeMember:
     """Add or remove a control member."""
@@ -88,6 +130,8 @@
         raise exceptions.ChangeError(
             f"no such resource: {path}", codes.UNKNOWN_OBJECT
         ) from None
+    if endpoint == "document" and request.method == "PUT":
+        return ApplyDocument(_parse_document(request, operator))
     if endpoint == "object" and request.method in ("PUT", "DELETE"):
         return ChangeObject(_parse_change(request, operator, **values))
     if endpoint == "member" and request.method in ("PUT", "DELETE"):
@@ -116,6 +160,50 @@
     return answer
 
 
+def document_change(operator, number, base_number, body, objects):
+    """Make the change that applies a whole document.
+
+    :param operator: who asked.
+    :param number: the operators' number of the document.
+    :param base_number: number of the document it builds on.
+    :param body: the document as it was sent; its digest tells resends.
+    :param objects: rows of
+        :class:`~fescueyard.configuration.state.DocumentObject`.
+    :returns: :class:`~fescueyard.configuration.state.DocumentChange`.
+    """
+    return states.DocumentChange(
+        hashlib.sha256(body).hexdigest(),
+        operator,
+        number,
+        base_number,
+        zlib.compress(body, ZLIB_LEVEL),
+        objects,
+    )
+
+
+def document_answer(state):
+    """Answer a read of the document in force.
+
+    :param state: the configuration.
+    :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+    """
+    source = state.applied_document.source
+    if not source:
+        return problems.problem(codes.UNKNOWN_OBJECT)
+    headers = [http.Header("content-type", "application/json")]
+    return http.HttpAnswer(200, headers, zlib.decompress(source))
+
+
+def refusal(code, detail=""):
+    """Answer a request that is refused.
+
+    :param code: :class:`~fescueyard.core.codes.ResultCode`.
+    :param detail: one sentence; the code's title when left out.
+    :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+    """
+    return problems.problem(code, detail, RETRY_AFTER_MS)
+
+
 def objects_answer(state, command):
     """Answer a read of objects.
 
@@ -160,6 +248,8 @@
         return ReadObjects(models.parse_kind(values["kind"]), None)
     if endpoint == "object":
         return ReadObjects(models.parse_kind(values["kind"]), values["name"])
+    if endpoint == "document":
+        return ReadDocument()
     if endpoint == "members":
         return ReadMembers()
     if endpoint == "status":
@@ -187,6 +277,29 @@
     return states.Change(change_id, operator, kind, name, int(text), document)
 
 
+def _parse_document(request, operator):
+    try:
+        value = _DOCUMENT_ADAPTER.validate_json(request.body)
+    except pydantic.ValidationError as error:
+        raise exceptions.ChangeError(models.describe(error)) from error
+    rows = []
+    for each in value.objects:
+        kind = models.parse_kind(each.kind)
+        if kind not in states.DOCUMENT_KINDS:
+            raise exceptions.ChangeError(f"no document sets a {each.kind}")
+        models.check_name(each.name)
+        parsed = models.parse_document(kind, json.dumps(each.document))
+        rows.append(
+            states.DocumentObject(
+                each.kind, each.name, models.dump_document(kind, parsed)
+            )
+        )
+    states.check_references(rows)
+    return document_change(
+        operator, value.number, value.base_number, request.body, rows
+    )
+
+
 def _object_json(row):
     return {
         "kind": row.kind,
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -9,6 +9,7 @@
 from fescueyard.consensus import models as consensus_models
 from fescueyard.consensus import systems as consensus
 from fescueyard.control import admin
+from fescueyard.control import founding
 from fescueyard.control import storage as storages
 from fescueyard.control import systems
 from fescueyard.control import tables as control_tables
@@ -19,7 +20,6 @@
 from fescueyard.core import exceptions
 from fescueyard.core import logs
 from fescueyard.core import operators
-from fescueyard.core import problems
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
 from fescueyard.transport import streams
@@ -28,7 +28,7 @@
 
 TICK_S = 0.02
 STOP_TIMEOUT_S = 5.0
-ADMIN_BODY_BYTES_MAX = 1024 * 1024
+ADMIN_BODY_BYTES_MAX = 16 * 1024 * 1024
 
 
 class ControlProcess:
@@ -37,14 +37,23 @@
     :param settings: :class:`~fescueyard.conf.settings.ControlSettings`.
     :param storage: the open data folder.
     :param loaded: what it holds.
+    :param interface: module that reads operators' requests and writes their
+        answers, such as :mod:`fescueyard.control.admin`.
+    :param reload: reads the settings again; None where they don't change.
     """
 
-    def __init__(self, settings, storage, loaded):
+    def __init__(
+        self, settings, storage, loaded, interface=admin, reload=None
+    ):
         self.settings = settings
+        self._read_settings = reload
+        self._interface = interface
         loop = asyncio.get_running_loop()
         self.stopped = loop.create_future()
         self._storage = storage
-        self._operators = operators.load(settings.operators_file)
+        self._operators = []
+        if settings.operators_file:
+            self._operators = operators.load(settings.operators_file)
         own = consensus_models.Member(
             loaded.member_id,
             settings.address,
@@ -59,6 +68,10 @@
             settings.control_addresses,
             secrets.randbits(64),
             clock.now_ms(),
+            control_tables.ControlPolicy(
+                settings.repairs_members, settings.keeps_claims
+            ),
+            settings.voters_max,
         )
         secret = conf_settings.read_secret(
             settings.cluster_secret,
@@ -102,6 +115,23 @@
         elections.hand_over(self._tables.consensus, now_ms)
         self._settle(now_ms)
 
+    def reload(self):
+        """Read the settings again and take over what may change."""
+        if self._read_settings is None:
+            LOG.info("reload_ignored", reason="settings come from flags")
+            return
+        try:
+            settings = self._read_settings()
+        except exceptions.SettingsError as error:
+            LOG.error("reload_refused", detail=error.detail)
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        self._tables.control_addresses = settings.control_addresses
+        self._tables.members.seeds = list(settings.control_addresses)
+        LOG.info("reloaded", control_addresses=settings.control_addresses)
+
     def dump(self):
         """Write out the process's tables.
 
@@ -136,20 +166,32 @@
         self._connections[exchange_id] = connection
         now_ms = clock.now_ms()
         try:
-            command = admin.parse(request, self._operators)
+            command = self._interface.parse(request, self._operators)
         except exceptions.FescueyardError as error:
-            answer = problems.problem(error.code, error.detail)
+            LOG.info(
+                "order_refused",
+                order=exchange_id,
+                target=request.target,
+                code=error.code.number,
+                detail=error.detail,
+            )
+            answer = self._interface.refusal(error.code, error.detail)
             self._answer(exchange_id, answer)
             return
+        LOG.info("order", order=exchange_id, kind=type(command).__name__)
         self._commands[exchange_id] = command
         origin = control_tables.LocalOrigin(exchange_id)
         if isinstance(command, admin.ChangeObject):
             systems.submit_change(self._tables, command.change, origin, now_ms)
+        elif isinstance(command, admin.ApplyDocument):
+            systems.submit_document(
+                self._tables, command.change, origin, now_ms
+            )
         elif isinstance(command, admin.ChangeMember):
             systems.submit_members_change(
                 self._tables, command.member_id, command.add, origin, now_ms
             )
-        elif isinstance(command, admin.ReadObjects):
+        elif isinstance(command, (admin.ReadObjects, admin.ReadDocument)):
             systems.submit_read(self._tables, exchange_id, now_ms)
         else:
             self._answer(exchange_id, self._read_process(command, now_ms))
@@ -278,19 +320,30 @@
         outcomes = self._tables.outcomes
         self._tables.outcomes = []
         for outcome in outcomes:
-            if isinstance(outcome, control_tables.Settled):
-                answer = admin.change_answer(outcome.result)
-            elif outcome.fresh:
-                command = self._commands.get(outcome.exchange_id)
-                if command is None:
-                    continue
-                answer = admin.objects_answer(self._tables.state, command)
-            else:
-                answer = problems.problem(
-                    codes.NO_LEADER, retry_after_ms=admin.RETRY_AFTER_MS
-                )
+            answer = self._outcome_answer(outcome)
+            if answer is None:
+                continue
+            LOG.info(
+                "order_answered",
+                order=outcome.exchange_id,
+                status=answer.status,
+                in_force=self._tables.state.applied_document.number,
+                age_ms=_rounded(systems.age_ms(self._tables, clock.now_ms())),
+            )
             self._answer(outcome.exchange_id, answer)
 
+    def _outcome_answer(self, outcome):
+        if isinstance(outcome, control_tables.Settled):
+            return self._interface.change_answer(outcome.result)
+        if not outcome.fresh:
+            return self._interface.refusal(codes.NO_LEADER)
+        command = self._commands.get(outcome.exchange_id)
+        if command is None:
+            return None
+        if isinstance(command, admin.ReadDocument):
+            return self._interface.document_answer(self._tables.state)
+        return admin.objects_answer(self._tables.state, command)
+
     def _log_role(self):
         role = self._tables.consensus.role
         if role is not self._role:
@@ -320,23 +373,33 @@
         self.stopped.set_result(None)
 
 
-async def start(settings):
+async def start(settings, interface=admin, reload=None):
     """Open the data folder and start a control process.
 
     :param settings: :class:`~fescueyard.conf.settings.ControlSettings`.
+    :param interface: see :class:`ControlProcess`.
+    :param reload: see :class:`ControlProcess`.
     :returns: :class:`ControlProcess`.
     :raises StorageError: when the data folder is new, in use or corrupt.
     """
     storage = storages.Storage(settings.data_folder)
-    if storage.is_new() and settings.join:
+    if storage.is_new() and settings.address in settings.founders:
+        founding.found(storage, settings)
+    elif storage.is_new() and settings.join:
         storage.create(
             lambda member_id: consensus_models.Snapshot(0, 0, [], b"")
         )
-    process = ControlProcess(settings, storage, storage.load())
+    process = ControlProcess(
+        settings, storage, storage.load(), interface, reload
+    )
     await process.start()
     return process
 
 
+def _rounded(value_ms):
+    return None if value_ms == float("inf") else round(value_ms)
+
+
 def _member_json(member):
     return {
         "member_id": member.member_id,
--- a/fescueyard/control/messages.py
+++ b/fescueyard/control/messages.py
@@ -32,7 +32,10 @@
 @wire.message(28)
 @dataclasses.dataclass(slots=True)
 class JoinAsk:
-    """A process with a new data folder asks to become a member."""
+    """A process that is no member asks to become one.
+
+    A member that does not lead passes it on to the leader.
+    """
 
     member: models.Member
 
@@ -67,3 +70,20 @@
     ask_id: int
     member_id: str
     add: bool
+
+
+@wire.message(33)
+@dataclasses.dataclass(slots=True)
+class DocumentAsk:
+    """A whole document, forwarded to the leader."""
+
+    ask_id: int
+    change: state.DocumentChange
+
+
+@wire.message(34)
+@dataclasses.dataclass(slots=True)
+class NotAMember:
+    """Tells a process that campaigns that it was removed meanwhile."""
+
+    term: int
--- a/fescueyard/control/storage.py
+++ b/fescueyard/control/storage.py
@@ -68,16 +68,17 @@
         """
         return not os.path.exists(self._path("member"))
 
-    def create(self, snapshot):
+    def create(self, snapshot, member_id=""):
         """Give the folder an identity and its first snapshot.
 
         :param snapshot: function from the new member id to the
             :class:`~fescueyard.consensus.models.Snapshot`.
+        :param member_id: the identity; made up when empty.
         :raises StorageError: when the folder already holds a member.
         """
         if not self.is_new():
             raise exceptions.StorageError("the folder already has a member")
-        member_id = ids.new_id("m-")
+        member_id = member_id or ids.new_id("m-")
         self._replace("snapshot", snapshot(member_id))
         self._replace("vote", consensus_models.Vote(0, ""))
         self._replace_log([])
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -5,6 +5,7 @@
 """
 
 import functools
+import zlib
 
 from fescueyard.configuration import messages as configuration_messages
 from fescueyard.configuration import replica
@@ -12,14 +13,17 @@
 from fescueyard.consensus import dispatch as consensus_dispatch
 from fescueyard.consensus import lease
 from fescueyard.consensus import log
+from fescueyard.consensus import messages as consensus_messages
 from fescueyard.consensus import models as consensus_models
 from fescueyard.consensus import replication
 from fescueyard.consensus import systems as consensus
 from fescueyard.control import messages
+from fescueyard.control import repair
 from fescueyard.control import tables as control_tables
 from fescueyard.core import codes
 from fescueyard.core import dispatch
 from fescueyard.core import effects
+from fescueyard.core import logs
 from fescueyard.core import wire
 from fescueyard.limits import fleet
 from fescueyard.limits import messages as limit_messages
@@ -28,12 +32,18 @@
 from fescueyard.routing import membership
 from fescueyard.routing import messages as routing_messages
 
+LOG = logs.PartLogger("control")
+
 CHANGE_TIMEOUT_MS = 3_000
 READ_TIMEOUT_MS = 1_500
 FRESHNESS_INTERVAL_MS = 200
 JOIN_INTERVAL_MS = 500
 APPLICANT_TTL_MS = 5_000
+ZLIB_LEVEL = 1
 SNAPSHOT_ENTRIES = 1_000
+# Whole documents are large; the log is compacted before it fills the disk.
+SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
+REMOVED_MS = 5_000
 
 
 def age_ms(tables, now_ms):
@@ -70,6 +80,28 @@
     )
 
 
+def submit_document(tables, change, origin, now_ms):
+    """Take a whole document to the leader.
+
+    :param change: :class:`~fescueyard.configuration.state.DocumentChange`.
+    :param origin: where the result goes.
+    :param now_ms: the present time.
+    """
+    payload = zlib.compress(wire.encode_plain(change), ZLIB_LEVEL)
+    index = replication.propose(
+        tables.consensus, consensus_models.DOCUMENT_ENTRY, payload, now_ms
+    )
+    if index is not None:
+        _await_entry(tables, index, origin, now_ms)
+        return
+    _forward(
+        tables,
+        lambda ask_id: messages.DocumentAsk(ask_id, change),
+        origin,
+        now_ms,
+    )
+
+
 def submit_members_change(tables, member_id, add, origin, now_ms):
     """Take a change of the control members to the leader.
 
@@ -149,15 +181,18 @@
     :returns: bool.
     """
     agreement = tables.consensus
-    return (
-        tables.applied_index - agreement.snapshot.index >= SNAPSHOT_ENTRIES
-        and agreement.saved_index >= tables.applied_index
-    )
+    if agreement.saved_index < tables.applied_index:
+        return False
+    applied = tables.applied_index - agreement.snapshot.index
+    if applied >= SNAPSHOT_ENTRIES:
+        return True
+    return tables.applied_bytes >= SNAPSHOT_LOG_BYTES
 
 
 def take_snapshot(tables):
     """Compact the log into a snapshot of the applied state."""
     log.compact(tables.consensus, states.dump_state(tables.state))
+    tables.applied_bytes = 0
 
 
 def tick(tables, now_ms):
@@ -169,10 +204,9 @@
     consensus.tick(agreement, now_ms)
     if lease.holds_lease(agreement, now_ms):
         fleet.take_charge(tables.fleet, agreement.vote.term, now_ms)
-        for change in assignment.changes_due(tables, now_ms):
-            submit_change(
-                tables, change, control_tables.InternalOrigin(), now_ms
-            )
+        if tables.policy.keeps_claims:
+            _assign_claims(tables, now_ms)
+        repair.tick(tables, now_ms)
     membership.tick(tables, now_ms)
     tables.events.clear()
     _ask_freshness(tables, now_ms)
@@ -185,6 +219,11 @@
             del tables.applicants[member_id]
 
 
+def _assign_claims(tables, now_ms):
+    for change in assignment.changes_due(tables, now_ms):
+        submit_change(tables, change, control_tables.InternalOrigin(), now_ms)
+
+
 def control_addresses(tables):
     """List the control VMs' stream addresses, the leader's first.
 
@@ -210,6 +249,26 @@
     consensus_dispatch.receive(message, tables.consensus, peer_id, now_ms)
 
 
+@receive.register
+def _receive_vote_ask(
+    message: consensus_messages.VoteAsk, tables, peer_id, stream, now_ms
+):
+    agreement = tables.consensus
+    if log.find_member(agreement, peer_id) is None and agreement.members:
+        # It was removed while it could not hear of it.
+        told = messages.NotAMember(agreement.vote.term)
+        tables.effects.append(effects.SendReply(stream, told))
+        return
+    consensus_dispatch.receive(message, agreement, peer_id, now_ms)
+
+
+@receive.register
+def _receive_not_a_member(
+    message: messages.NotAMember, tables, peer_id, stream, now_ms
+):
+    tables.removed_until_ms = now_ms + REMOVED_MS
+
+
 @receive.register
 def _receive_configuration_ask(
     message: configuration_messages.ConfigurationAsk,
@@ -257,8 +316,18 @@
     message: messages.JoinAsk, tables, peer_id, stream, now_ms
 ):
     member = message.member
-    if member.member_id == peer_id and not member.voter:
-        tables.applicants[peer_id] = control_tables.Applicant(member, now_ms)
+    agreement = tables.consensus
+    passed_on = log.find_member(agreement, peer_id) is not None
+    if member.voter or not (member.member_id == peer_id or passed_on):
+        return
+    tables.applicants[member.member_id] = control_tables.Applicant(
+        member, now_ms
+    )
+    leader = log.find_member(agreement, agreement.leader_id)
+    if leader is None or passed_on:
+        return
+    if leader.member_id != agreement.member_id:
+        tables.effects.append(effects.SendMessage(leader.address, message))
 
 
 @receive.register
@@ -272,6 +341,17 @@
     submit_change(tables, message.change, origin, now_ms)
 
 
+@receive.register
+def _receive_document_ask(
+    message: messages.DocumentAsk, tables, peer_id, stream, now_ms
+):
+    origin = control_tables.RemoteOrigin(stream, message.ask_id)
+    if not lease.is_leader(tables.consensus):
+        _tell(tables, origin, _result(codes.NO_LEADER))
+        return
+    submit_document(tables, message.change, origin, now_ms)
+
+
 @receive.register
 def _receive_members_ask(
     message: messages.MembersAsk, tables, peer_id, stream, now_ms
@@ -390,6 +470,20 @@
     if entry.kind == consensus_models.CHANGE_ENTRY:
         change = wire.decode_plain(states.Change, entry.payload)
         result = states.apply_change(tables.state, change, entry.index)
+    elif entry.kind == consensus_models.DOCUMENT_ENTRY:
+        change = wire.decode_plain(
+            states.DocumentChange, zlib.decompress(entry.payload)
+        )
+        result = states.apply_document(tables.state, change, entry.index)
+        LOG.info(
+            "document_decided",
+            number=change.number,
+            base=change.base_number,
+            index=entry.index,
+            code=result.code,
+            in_force=tables.state.applied_document.number,
+        )
+    tables.applied_bytes += len(entry.payload)
     pending = tables.pending_proposals.pop(entry.index, None)
     if pending is None:
         return
@@ -451,9 +545,11 @@
     if now_ms < tables.join_due_ms:
         return
     tables.join_due_ms = now_ms + JOIN_INTERVAL_MS
-    if log.find_member(agreement, agreement.member_id) is not None:
+    member = log.find_member(agreement, agreement.member_id)
+    if member is not None and now_ms >= tables.removed_until_ms:
         return
-    for address in tables.control_addresses:
+    known = [row.address for row in agreement.members]
+    for address in dict.fromkeys(tables.control_addresses + known):
         if address != tables.own.address:
             tables.effects.append(
                 effects.SendMessage(address, messages.JoinAsk(tables.own))
--- a/fescueyard/control/tables.py
+++ b/fescueyard/control/tables.py
@@ -115,6 +115,19 @@
     heard_at_ms: float
 
 
+@dataclasses.dataclass(frozen=True)
+class ControlPolicy:
+    """What a control process decides by itself.
+
+    :param repairs_members: admits applicants, and replaces a voter that stays
+        gone by a learner that has caught up.
+    :param keeps_claims: assigns the replicas of claim groups.
+    """
+
+    repairs_members: bool = False
+    keeps_claims: bool = True
+
+
 @dataclasses.dataclass
 class ControlTables:
     """All state of a control process.
@@ -123,8 +136,12 @@
     :param state: the configuration, applied up to ``applied_index``.
     :param members: all processes of the fleet, for gossip.
     :param events: news of lost members, which control does not act on.
+    :param applied_bytes: size of the entries applied since the snapshot.
     :param pending_proposals: changes by log index.
     :param pending_asks: changes forwarded to the leader, by ask id.
+    :param policy: what the process may decide without an operator.
+    :param removed_until_ms: a member told that this one was removed; it asks
+        to join again until then.
     :param outcomes: results for local exchanges, for the edge to take.
     :param effects: messages for the edge to send.
     """
@@ -136,6 +153,7 @@
     control_addresses: list[str]
     random: random.Random
     applied_index: int = 0
+    applied_bytes: int = 0
     freshness: FreshnessTable = dataclasses.field(
         default_factory=FreshnessTable
     )
@@ -154,13 +172,25 @@
     assignment: claim_models.AssignmentTable = dataclasses.field(
         default_factory=claim_models.AssignmentTable
     )
+    policy: ControlPolicy = dataclasses.field(default_factory=ControlPolicy)
+    repair_due_ms: float = 0.0
+    removed_until_ms: float = float("-inf")
     last_ask_id: int = 0
     join_due_ms: float = 0.0
     outcomes: list = dataclasses.field(default_factory=list)
     effects: list = dataclasses.field(default_factory=list)
 
 
-def new_tables(loaded, own, region, control_addresses, seed, now_ms):
+def new_tables(
+    loaded,
+    own,
+    region,
+    control_addresses,
+    seed,
+    now_ms,
+    policy=ControlPolicy(),
+    voters_max=consensus_models.VOTERS_MAX,
+):
     """Make the tables of a control process from its data folder.
 
     :param loaded: :class:`~fescueyard.control.storage.Loaded`.
@@ -169,6 +199,8 @@
     :param control_addresses: ``host:port`` of other control VMs.
     :param seed: seed of the random choices.
     :param now_ms: the present time.
+    :param policy: :class:`ControlPolicy`.
+    :param voters_max: most members with a vote.
     :returns: :class:`ControlTables`.
     """
     snapshot = loaded.snapshot
@@ -182,6 +214,7 @@
         loaded.entries,
         seed,
         now_ms,
+        voters_max,
     )
     return ControlTables(
         agreement,
@@ -191,6 +224,7 @@
         control_addresses,
         random.Random(seed),
         applied_index=snapshot.index,
+        policy=policy,
     )
 
 
--- a/fescueyard/core/codes.py
+++ b/fescueyard/core/codes.py
@@ -76,6 +76,9 @@
 TOO_DEEP = _define(
     2008, "too_deep", 508, _NOT, "The call chain is deeper than allowed."
 )
+UNKNOWN_ROUTE = _define(
+    2011, "unknown_route", 404, _NOT, "No route matches host and path."
+)
 KEY_REUSED = _define(
     2009,
     "idempotency_key_reused",
@@ -186,6 +189,22 @@
     "The customer's rate can't be checked now.",
     True,
 )
+BACKEND_REFUSED = _define(
+    2210,
+    "backend_refused",
+    503,
+    _NOT,
+    "The backend server refused the request.",
+    True,
+)
+WRONG_INSTANCE = _define(
+    2211,
+    "wrong_instance",
+    503,
+    _NOT,
+    "Another backend server has taken over the address.",
+    True,
+)
 
 # 2300 to 2399: the run started and its end is not known.
 DEADLINE_EXCEEDED = _define(
--- a/fescueyard/ingress/models.py
+++ b/fescueyard/ingress/models.py
@@ -46,6 +46,14 @@
     :param attempt: the try under way, or None.
     :param doubt_code: result code of an attempt that may have run; 0 for
         none.
+    :param request_id: the caller's id of the request, for logs.
+    :param route: name of the route it came by; empty for a call by service.
+    :param caller_service: service on whose VM it began.
+    :param attempts_max: most backend servers that get it; None leaves it to
+        the chain's retry allowance.
+    :param reached: backend servers that got it so far.
+    :param objective_ms: latency objective; 0 for none.
+    :param is_call: it came on a route that backend servers call on.
     """
 
     call_id: int
@@ -70,6 +78,13 @@
     last_code: int = 0
     doubt_code: int = 0
     last_retry_after_ms: float = 0.0
+    request_id: str = ""
+    route: str = ""
+    caller_service: str = ""
+    attempts_max: int | None = None
+    reached: int = 0
+    objective_ms: float = 0.0
+    is_call: bool = False
 
 
 @dataclasses.dataclass
--- a/fescueyard/ingress/parsing.py
+++ b/fescueyard/ingress/parsing.py
@@ -63,7 +63,7 @@
         started_at_ms=now_ms,
         deadline_at_ms=context.deadline_at_ms,
         chain=context.chain,
-        fingerprint=_fingerprint(name, cleaned, context.identity.customer),
+        fingerprint=fingerprint(name, cleaned, context.identity.customer),
         parent_run_id=context.parent_run_id,
     )
 
@@ -93,11 +93,11 @@
     """Start a chain for a caller from outside."""
     path = target.partition("?")[0]
     identity = keys.identify(tables, service, request, path, now_ms)
-    deadline_ms = _number(
+    deadline_ms = number(
         request, admission.DEADLINE_HEADER, profile.deadline_default_ms
     )
     deadline_ms = min(deadline_ms, profile.deadline_max_ms)
-    priority = _number(
+    priority = number(
         request, admission.PRIORITY_HEADER, profile.priority_default
     )
     priority = max(min(priority, 7), profile.priority_ceiling)
@@ -120,8 +120,8 @@
     if depth > profile.depth_max:
         raise exceptions.RequestError("", codes.TOO_DEEP)
     left_ms = run.deadline_at_ms - now_ms
-    deadline_ms = _number(request, admission.DEADLINE_HEADER, left_ms)
-    priority = _number(request, admission.PRIORITY_HEADER, forward.priority)
+    deadline_ms = number(request, admission.DEADLINE_HEADER, left_ms)
+    priority = number(request, admission.PRIORITY_HEADER, forward.priority)
     return _Context(
         keys.Identity(forward.customer, forward.key_id),
         max(min(priority, 7), forward.priority, profile.priority_ceiling),
@@ -140,7 +140,15 @@
         raise exceptions.RequestError("", codes.SERVICE_FORBIDDEN)
 
 
-def _number(request, name, default):
+def number(request, name, default):
+    """Read a header that holds a whole number.
+
+    :param request: :class:`~fescueyard.core.http.HttpRequest`.
+    :param name: lower-case name of the header.
+    :param default: the value when there is no such header.
+    :returns: the number, or the default.
+    :raises RequestError: when the header holds something else.
+    """
     text = request.header(name)
     if text is None:
         return default
@@ -160,7 +168,14 @@
     return key
 
 
-def _fingerprint(service, request, customer):
+def fingerprint(service, request, customer):
+    """Digest what makes a request the same when it comes again.
+
+    :param service: name of the service.
+    :param request: cleaned :class:`~fescueyard.core.http.HttpRequest`.
+    :param customer: whom it runs for.
+    :returns: bytes.
+    """
     digest = hashlib.blake2b(digest_size=16)
     for part in (customer, service, request.method, request.target):
         digest.update(part.encode() + b"\0")
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -13,20 +13,30 @@
 from fescueyard.core import effects
 from fescueyard.core import exceptions
 from fescueyard.core import http
+from fescueyard.core import logs
 from fescueyard.core import problems
 from fescueyard.core import timers
 from fescueyard.ingress import models
 from fescueyard.ingress import parsing
+from fescueyard.ingress import routed
 from fescueyard.keys import systems as keys
 from fescueyard.limits import systems as limits
 from fescueyard.once import systems as claims
+from fescueyard.retries import budget
 from fescueyard.retries import quarantine
 from fescueyard.retries import systems as retries
 from fescueyard.routing import choice
 from fescueyard.routing import membership
 
+LOG = logs.PartLogger("ingress")
+
 RETRY_AFTER_MS = 1_000
 FAILED_STATUS = 500
+# A run that ends just now still gets its answer to a waiting caller.
+ANSWER_GRACE_MS = 120
+# Refusals of nodes on the way, which no backend server saw, are followed by
+# another node so often at most.
+REROUTES_MAX = 3
 RETRY_AFTER_SPREAD = 1.0
 
 # Failures that say something about the backend server or its node.
@@ -39,6 +49,20 @@
         codes.SHORT_ANSWER,
     }
 )
+_STREAM_FAILURES = frozenset({codes.PEER_UNREACHABLE, codes.PEER_LOST})
+# Ends of attempts whose requests a backend server may have seen.
+_REACHED_SERVER = frozenset(
+    {
+        codes.BACKEND_REFUSED,
+        codes.WRONG_INSTANCE,
+        codes.PEER_LOST,
+        codes.BACKEND_FAILED,
+        codes.SHORT_ANSWER,
+        codes.DEADLINE_EXCEEDED,
+    }
+)
+# Answers of a backend server that another one may make up for.
+_FAILED_STATUSES = frozenset({500, 502, 503})
 # Refusals after which another backend server may take the request.
 _WORTH_ANOTHER_TRY = _NODE_FAILURES | {
     codes.OVERLOADED,
@@ -46,6 +70,8 @@
     codes.DEADLINE_UNREACHABLE,
     codes.LEAVING,
     codes.NO_BACKEND,
+    codes.BACKEND_REFUSED,
+    codes.WRONG_INSTANCE,
 }
 
 
@@ -66,24 +92,37 @@
     :param now_ms: the present time.
     """
     try:
-        if tables.draining and not from_backend:
+        if _refuses_callers(tables, now_ms) and not from_backend:
             raise exceptions.RequestError("", codes.LEAVING)
-        call = parsing.parse(
-            tables, exchange_id, request, from_backend, now_ms
-        )
+        if tables.routed:
+            call = routed.parse(tables, exchange_id, request, now_ms)
+        else:
+            call = parsing.parse(
+                tables, exchange_id, request, from_backend, now_ms
+            )
     except exceptions.RequestError as error:
-        tables.metrics.count(f"calls_{error.code.name}")
-        answer = problems.problem(
-            error.code, error.detail, _retry_after_ms(tables)
-        )
-        tables.effects.append(effects.AnswerCaller(exchange_id, answer))
+        _refuse_unparsed(tables, exchange_id, request, error, now_ms)
         return
     tables.calls.rows[call.call_id] = call
     tables.calls.by_exchange[exchange_id] = call.call_id
+    grace_ms = ANSWER_GRACE_MS if tables.routed else 0
     timers.schedule(
-        tables.timers, call.deadline_at_ms, CallDeadline(call.call_id)
+        tables.timers,
+        call.deadline_at_ms + grace_ms,
+        CallDeadline(call.call_id),
     )
     retries.count_first_try(tables)
+    LOG.decision(
+        "accepted",
+        request=call.request_id,
+        call=call.call_id,
+        route=call.route,
+        service=call.service,
+        customer=call.customer,
+        priority=call.priority,
+        timeout_ms=round(call.deadline_at_ms - now_ms),
+        version=tables.configuration.state.version,
+    )
     if call.parent_run_id is None and call.customer:
         limits.request(tables, call.call_id, call.customer, now_ms)
     elif _is_own_retry(tables, call):
@@ -94,6 +133,37 @@
         _claim_or_attempt(tables, call, now_ms)
 
 
+def _refuses_callers(tables, now_ms):
+    """Say whether a planned stop has come so far that callers must go."""
+    if not tables.draining:
+        return False
+    return now_ms - tables.draining_since_ms >= tables.leave_notice_ms
+
+
+def _refuse_unparsed(tables, exchange_id, request, error, now_ms):
+    tables.metrics.count(f"calls_{error.code.name}")
+    LOG.decision(
+        "refused",
+        request=request.header(tables.interface.names.request_id) or "",
+        code=error.code.number,
+        reason=error.code.name,
+        version=tables.configuration.state.version,
+        age_ms=_age_ms(tables, now_ms),
+    )
+    answer = tables.interface.refuse(
+        error.code, error.detail, _retry_after_ms(tables)
+    )
+    tables.effects.append(effects.AnswerCaller(exchange_id, answer))
+
+
+def _age_ms(tables, now_ms):
+    """Say how old the configuration is, for a log line."""
+    fresh_as_of_ms = tables.configuration.fresh_as_of_ms
+    if fresh_as_of_ms in (None, float("-inf")):
+        return None
+    return round(now_ms - fresh_as_of_ms)
+
+
 def caller_left(tables, exchange_id, now_ms):
     """Stop a call whose caller has gone.
 
@@ -109,6 +179,16 @@
     if call_id in tables.claims.held:
         # It goes on, so that a resend finds its answer.
         return
+    LOG.decision(
+        "caller_left",
+        request=call.request_id,
+        call=call_id,
+        after_ms=round(now_ms - call.started_at_ms),
+        stage=call.stage.value,
+    )
+    if tables.routed and call.attempt is not None and not call.idempotent:
+        # Breaking off what may not be repeated would help nobody.
+        return
     _give_up(tables, call, codes.CANCELLED, codes.CANCELLED_RUNNING, now_ms)
 
 
@@ -144,7 +224,7 @@
     elif event.code is codes.OK:
         _attempt(tables, call, now_ms)
     elif event.kept is not None:
-        answer = _outer_answer(event.kept, codes.REPLAYED)
+        answer = _outer_answer(tables, event.kept, codes.REPLAYED)
         _finish(tables, call, codes.REPLAYED, None, answer, now_ms)
     else:
         _finish_refused(tables, call, event.code, 0.0, now_ms)
@@ -229,8 +309,11 @@
         tables, call.service, call.tried, profile.slow_start_ms, now_ms
     )
     if member is None:
-        _finish_refused(tables, call, codes.NO_BACKEND, 0.0, now_ms)
+        code = codes.by_number(call.last_code or codes.NO_BACKEND.number)
+        _finish_refused(tables, call, code, call.last_retry_after_ms, now_ms)
         return
+    if call.attempts_max is not None and not call.tries:
+        budget.note_first_send(tables, call.service, profile)
     table = tables.calls
     table.last_attempt_id += 1
     attempt = models.AttemptRow(
@@ -257,6 +340,20 @@
         call.chain,
         call.fingerprint,
         quarantine.is_suspect(tables, call.fingerprint),
+        call.caller_service,
+        call.request_id,
+        call.objective_ms - (now_ms - call.started_at_ms),
+        call.is_call,
+    )
+    LOG.decision(
+        "sent",
+        request=call.request_id,
+        call=call.call_id,
+        attempt=attempt.attempt_id,
+        node=member.node_id,
+        zone=member.zone,
+        incarnation=member.incarnation,
+        left_ms=round(forward.deadline_ms),
     )
     own = tables.members.own
     if member.node_id == own.node_id:
@@ -271,6 +368,16 @@
         tables.metrics.count("late_answers")
         return
     choice.note_load(tables, node_id, told.load, told.limit, now_ms)
+    LOG.decision(
+        "attempt_answered",
+        call=attempt.call_id,
+        attempt=told.attempt_id,
+        node=node_id,
+        code=told.code,
+        load=told.load,
+        limit=told.limit,
+        took_ms=round(now_ms - attempt.started_at_ms),
+    )
     if told.code in (codes.LEAVING.number, codes.NO_BACKEND.number):
         choice.note_refusing(tables, node_id, now_ms)
     if told.crash_id:
@@ -295,19 +402,61 @@
     )
     call = tables.calls.rows[attempt.call_id]
     call.attempt = None
+    if tables.routed and code in _STREAM_FAILURES:
+        choice.note_unreachable(tables, attempt.node_id, now_ms)
+    if code in _REACHED_SERVER or answer is not None:
+        call.reached += 1
+    if answer is not None and _is_worth_another(tables, call, answer, now_ms):
+        LOG.decision(
+            "sent_again",
+            request=call.request_id,
+            call=call.call_id,
+            status=answer.status,
+            reached=call.reached,
+        )
+        _attempt(tables, call, now_ms)
+        return
     if answer is not None:
-        outer = _outer_answer(answer, codes.OK)
+        outer = _outer_answer(tables, answer, codes.OK)
         _finish(tables, call, code, answer, outer, now_ms)
         return
     call.last_code = code.number
     call.last_retry_after_ms = retry_after_ms
     if code.outcome is codes.Outcome.MAY_HAVE_RUN:
         call.doubt_code = code.number
-    if _may_try_again(tables, call, code, now_ms):
+    if not _may_try_again(tables, call, code, now_ms):
+        _finish_refused(tables, call, code, retry_after_ms, now_ms)
+    elif call.attempts_max is not None:
+        LOG.decision(
+            "sent_again",
+            request=call.request_id,
+            call=call.call_id,
+            code=code.number,
+            reached=call.reached,
+        )
+        _attempt(tables, call, now_ms)
+    else:
         call.stage = models.Stage.RETRY
         retries.ask_retry(tables, call.call_id, call.chain, now_ms)
-    else:
-        _finish_refused(tables, call, code, retry_after_ms, now_ms)
+
+
+def _is_worth_another(tables, call, answer, now_ms):
+    """Say whether another backend server may make up for a failure."""
+    if call.attempts_max is None or not call.idempotent:
+        return False
+    if answer.status not in _FAILED_STATUSES:
+        return False
+    return _may_reach_another(tables, call, now_ms)
+
+
+def _may_reach_another(tables, call, now_ms):
+    """Say whether a request may go to one more backend server."""
+    if call.reached >= call.attempts_max or now_ms >= call.deadline_at_ms:
+        return False
+    if not choice.has_untried(tables, call.service, call.tried, now_ms):
+        return False
+    profile = tables.profile_of(call.service)
+    return budget.take(tables, call.service, profile)
 
 
 def _may_try_again(tables, call, code, now_ms):
@@ -316,7 +465,15 @@
         return False
     if code not in _WORTH_ANOTHER_TRY or now_ms >= call.deadline_at_ms:
         return False
-    return code.outcome is codes.Outcome.NOT_RUN or call.idempotent
+    if code.outcome is not codes.Outcome.NOT_RUN and not call.idempotent:
+        return False
+    if call.attempts_max is None:
+        return True
+    if code in _REACHED_SERVER:
+        return _may_reach_another(tables, call, now_ms)
+    if call.tries > REROUTES_MAX:
+        return False
+    return choice.has_untried(tables, call.service, call.tried, now_ms)
 
 
 def _give_up(tables, call, code_not_run, code_running, now_ms):
@@ -340,9 +497,11 @@
         tables.effects.append(effects.SendMessage(attempt.address, cancel))
 
 
-def _outer_answer(answer, code):
+def _outer_answer(tables, answer, code):
     """Make the caller's answer of a backend server's answer."""
     headers = keys.clean_answer_headers(answer.headers)
+    if tables.routed:
+        return dataclasses.replace(answer, headers=headers)
     headers.append(http.Header(problems.CODE_HEADER, str(code.number)))
     headers.append(http.Header(problems.OUTCOME_HEADER, code.outcome.value))
     return dataclasses.replace(answer, headers=headers)
@@ -353,7 +512,7 @@
         # An earlier attempt may have run, so "not run" would be a lie.
         code = codes.by_number(call.doubt_code)
     wait_ms = retry_after_ms or _retry_after_ms(tables)
-    answer = problems.problem(code, retry_after_ms=wait_ms)
+    answer = tables.interface.refuse(code, "", wait_ms)
     _finish(tables, call, code, None, answer, now_ms)
 
 
@@ -374,6 +533,17 @@
     del table.rows[call.call_id]
     del table.by_exchange[call.exchange_id]
     tables.metrics.count(f"calls_{code.name}")
+    LOG.decision(
+        "answered",
+        request=call.request_id,
+        call=call.call_id,
+        code=code.number,
+        reason=code.name,
+        status=answer.status,
+        tries=call.tries,
+        reached=call.reached,
+        took_ms=round(now_ms - call.started_at_ms),
+    )
     if not call.caller_left:
         tables.effects.append(effects.AnswerCaller(call.exchange_id, answer))
 
--- a/fescueyard/keys/systems.py
+++ b/fescueyard/keys/systems.py
@@ -23,6 +23,7 @@
         "proxy-authorization",
         "te",
         "trailer",
+        "proxy-connection",
         "transfer-encoding",
         "upgrade",
     }
@@ -59,11 +60,28 @@
     """
     if _is_open(service, path):
         return ANYONE
+    profile = tables.configuration.state.find(
+        configuration_models.Kind.PROFILE, service.profile
+    )
+    return identify_key(tables, profile, request, now_ms)
+
+
+def identify_key(tables, profile, request, now_ms):
+    """Find the customer of a request that needs a key.
+
+    :param tables: the node's tables.
+    :param profile: :class:`~fescueyard.configuration.models.Profile` that
+        says how old a configuration may vouch for a key.
+    :param request: :class:`~fescueyard.core.http.HttpRequest`.
+    :param now_ms: the present time.
+    :returns: :class:`Identity`.
+    :raises RequestError: when there is no key, or it is unknown, withdrawn
+        or can't be confirmed.
+    """
     key = _key_of(request)
     if not key:
         raise exceptions.RequestError("", codes.KEY_MISSING)
     state = tables.configuration.state
-    profile = state.find(configuration_models.Kind.PROFILE, service.profile)
     age_ms = replica.age_ms(tables.configuration, now_ms)
     if age_ms > profile.key_staleness_max_ms:
         raise exceptions.RequestError("", codes.STALE_CONFIGURATION)
@@ -76,13 +94,14 @@
     return Identity(row.customer, key_id)
 
 
-def clean(request, target):
+def clean(request, target, own_names=frozenset()):
     """Make the request that may cross to other processes.
 
     Keys, the caller's fescueyard headers and hop-by-hop headers are removed.
 
     :param request: the caller's request.
     :param target: path and query within the service.
+    :param own_names: further headers that only the system sets.
     :returns: :class:`~fescueyard.core.http.HttpRequest`.
     :raises RequestError: when the target or body holds a key.
     """
@@ -91,8 +110,9 @@
             "a key belongs in the Authorization header only"
         )
     headers = []
+    dropped = own_names | _connection_names(request)
     for header in request.headers:
-        if _may_pass(header):
+        if _may_pass(header) and header.name not in dropped:
             headers.append(header)
     return dataclasses.replace(request, target=target, headers=headers)
 
@@ -118,6 +138,14 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
+def _connection_names(request):
+    """List the headers that concern only the caller's connection."""
+    text = request.header("connection")
+    if text is None:
+        return frozenset()
+    return frozenset(name.strip().lower() for name in text.split(","))
+
+
 def _may_pass(header):
     if header.name in _HOP_BY_HOP or header.name == KEY_HEADER:
         return False
--- /dev/null
+++ b/fescueyard/management/commands/platform.py
@@ -0,0 +1,42 @@
+"""``fescueyard platform``: the processes on the users' machines."""
+
+from absl import logging
+
+from fescueyard.conf import checks
+from fescueyard.control import app as control_app
+from fescueyard.node import app as node_app
+from fescueyard.platform import announcements
+from fescueyard.platform import interface
+from fescueyard.platform import operators
+from fescueyard.platform import settings
+from fescueyard.transport import process
+
+
+class Platform:
+    """Starts a process with the settings file of its machine."""
+
+    def node(self):
+        """Run a node beside the machine's backend server."""
+        values = settings.read_node()
+        checks.require(values)
+        logging.set_verbosity(logging.INFO)
+        process.run(
+            lambda: node_app.start(
+                values,
+                interface=interface.INTERFACE,
+                backend_answer=announcements.answer,
+                reload=settings.read_node,
+            )
+        )
+
+    def control(self):
+        """Run a control process."""
+        values = settings.read_control()
+        checks.require(values)
+        logging.set_verbosity(logging.INFO)
+        calls = operators.OperatorCalls(settings.read_profile())
+        process.run(
+            lambda: control_app.start(
+                values, interface=calls, reload=settings.read_control
+            )
+        )
--- a/fescueyard/management/main.py
+++ b/fescueyard/management/main.py
@@ -1,5 +1,6 @@
 """Entry point: one program with a subcommand for each job."""
 
+import importlib
 import sys
 
 from absl import flags
@@ -7,28 +8,37 @@
 import fire
 
 from fescueyard.core import exceptions
-from fescueyard.management.commands import check
-from fescueyard.management.commands import codes
-from fescueyard.management.commands import control
-from fescueyard.management.commands import control_init
-from fescueyard.management.commands import ctl
-from fescueyard.management.commands import dump
-from fescueyard.management.commands import node
-from fescueyard.management.commands import operator_token
-from fescueyard.management.commands import settings_table
 
 COMMANDS = {
-    "check": check.run,
-    "codes": codes.run,
-    "control": control.run,
-    "control_init": control_init.run,
-    "ctl": ctl.Ctl,
-    "dump": dump.run,
-    "node": node.run,
-    "operator_token": operator_token.run,
-    "settings_table": settings_table.run,
+    "check": "run",
+    "codes": "run",
+    "control": "run",
+    "control_init": "run",
+    "ctl": "Ctl",
+    "dump": "run",
+    "node": "run",
+    "operator_token": "run",
+    "platform": "Platform",
+    "settings_table": "run",
 }
 EXIT_ERROR = 1
+_PACKAGE = "fescueyard.management.commands"
+
+
+def load_commands(arguments):
+    """Import the command that is asked for, or all of them.
+
+    A long-lived process does not need the libraries of the other commands.
+
+    :param arguments: words of the command line after the program.
+    :returns: commands by name.
+    """
+    names = [name for name in arguments[:1] if name in COMMANDS]
+    found = {}
+    for name in names or COMMANDS:
+        module = importlib.import_module(f"{_PACKAGE}.{name}")
+        found[name] = getattr(module, COMMANDS[name])
+    return found
 
 
 def main():
@@ -39,7 +49,7 @@
     logging.set_verbosity(logging.INFO)
     logging.get_absl_handler().python_handler.stream = sys.stderr
     try:
-        fire.Fire(COMMANDS, name="fescueyard")
+        fire.Fire(load_commands(sys.argv[1:]), name="fescueyard")
     except exceptions.FescueyardError as error:
         print(f"error {error.code.number}: {error.detail}", file=sys.stderr)
         sys.exit(EXIT_ERROR)
--- a/fescueyard/management/utils.py
+++ b/fescueyard/management/utils.py
@@ -6,6 +6,7 @@
 
 from fescueyard.conf import checks
 from fescueyard.conf import settings
+from fescueyard.core import logs
 
 _LEVELS = {
     "debug": logging.DEBUG,
@@ -26,4 +27,5 @@
     values = settings.load(cls, flags, os.environ)
     checks.require(values)
     logging.set_verbosity(_LEVELS[values.log_level])
+    logs.set_level(values.log_level)
     return values
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -8,6 +8,7 @@
 
 from fescueyard.admission import systems as admission
 from fescueyard.conf import settings as conf_settings
+from fescueyard.configuration import models as configuration_models
 from fescueyard.core import clock
 from fescueyard.core import codes
 from fescueyard.core import dispatch
@@ -18,8 +19,10 @@
 from fescueyard.core import ids
 from fescueyard.core import logs
 from fescueyard.core import problems
+from fescueyard.ingress import interface as ingress_interface
 from fescueyard.ingress import systems as ingress
 from fescueyard.node import backend_api
+from fescueyard.node import exposition
 from fescueyard.node import metrics
 from fescueyard.node import systems
 from fescueyard.node import tables as node_tables
@@ -35,6 +38,8 @@
 BACKEND_CONNECTIONS_MAX = 1_000
 # Time for the last answers and the goodbye to leave the sockets.
 GOODBYE_S = 0.2
+# Answers of what is cut off at the end of a planned stop need some time.
+STOP_MARGIN_MS = 600
 
 
 class _Edge:
@@ -55,14 +60,43 @@
         self._node.caller_left(exchange_id)
 
 
+class _AnswerEdge:
+    """Handler of a listener whose requests are answered at once.
+
+    :param answer: makes the answer of a request.
+    """
+
+    def __init__(self, answer):
+        self._answer = answer
+
+    def request_received(self, exchange_id, request, connection):
+        """Answer a request."""
+        connection.answer(self._answer(request, clock.now_ms()))
+
+    def caller_left(self, exchange_id):
+        """Nothing waits here."""
+
+
 class NodeProcess:
     """The process in the slot of one backend server VM.
 
     :param settings: :class:`~fescueyard.conf.settings.NodeSettings`.
+    :param interface: :class:`~fescueyard.ingress.interface.Interface`.
+    :param backend_answer: answers what the backend server tells this node;
+        called with the process, the request and the time. The project's own
+        backend interface when left out.
+    :param reload: reads the settings again; None where they don't change.
     """
 
-    def __init__(self, settings):
+    def __init__(
+        self,
+        settings,
+        interface=None,
+        backend_answer=None,
+        reload=None,
+    ):
         self.settings = settings
+        self._read_settings = reload
         self.stopped = asyncio.get_running_loop().create_future()
         node_id = settings.node_id or "n"
         # A restarted process is another member: what the old one held or
@@ -78,6 +112,11 @@
             random.SystemRandom(),
             routing_models.NODE_ROLE,
         )
+        tables = self._tables
+        tables.routed = settings.caller_interface == "routes"
+        tables.interface = interface or ingress_interface.Interface()
+        tables.service = settings.service
+        tables.leave_notice_ms = settings.leave_notice_ms
         secret = conf_settings.read_secret(
             settings.cluster_secret,
             settings.cluster_secret_file,
@@ -88,15 +127,29 @@
         self._callers = http_server.HttpServer(
             _Edge(self, from_backend=False), settings.body_bytes_max
         )
+        backend_edge = _Edge(self, from_backend=True)
+        if backend_answer is not None:
+            backend_edge = _AnswerEdge(
+                functools.partial(self._told_by_backend, backend_answer)
+            )
         self._backend_callers = http_server.HttpServer(
-            _Edge(self, from_backend=True), settings.body_bytes_max
+            backend_edge, settings.body_bytes_max
+        )
+        self._ready = http_server.HttpServer(
+            _AnswerEdge(self._ready_answer), settings.body_bytes_max
+        )
+        self._metrics = http_server.HttpServer(
+            _AnswerEdge(self._metrics_answer), settings.body_bytes_max
         )
         self._backend = backend_client.BackendClient(
-            BACKEND_CONNECTIONS_MAX, settings.answer_bytes_max
+            BACKEND_CONNECTIONS_MAX,
+            settings.answer_bytes_max,
+            tables.interface.names,
         )
         self._connections = {}
         self._run_futures = {}
         self._finishing = False
+        self._followed_version = -1
         self._timer = None
         self._tick_due_ms = 0.0
 
@@ -114,6 +167,14 @@
         await self._backend_callers.listen(
             streams.parse_address(settings.backend_address)
         )
+        if settings.ready_address:
+            await self._ready.listen(
+                streams.parse_address(settings.ready_address)
+            )
+        if settings.metrics_address:
+            await self._metrics.listen(
+                streams.parse_address(settings.metrics_address)
+            )
         LOG.info(
             "Node started.",
             node=self._tables.process_id,
@@ -128,8 +189,32 @@
             return
         LOG.info("Node is stopping.", calls=len(self._tables.calls.rows))
         systems.drain(self._tables, clock.now_ms())
+        self._callers.close_after_answers()
         self._run_effects()
 
+    def reload(self):
+        """Read the settings again and take over what may change."""
+        if self._read_settings is None:
+            LOG.info("reload_ignored", reason="settings come from flags")
+            return
+        try:
+            settings = self._read_settings()
+        except exceptions.SettingsError as error:
+            LOG.error("reload_refused", detail=error.detail)
+            return
+        if settings == self.settings:
+            return
+        self.settings = settings
+        tables = self._tables
+        tables.service = settings.service
+        tables.seeds = settings.control_addresses
+        tables.members.seeds = list(settings.control_addresses)
+        LOG.info(
+            "reloaded",
+            service=settings.service,
+            control_addresses=settings.control_addresses,
+        )
+
     def dump(self):
         """Write out the node's tables.
 
@@ -164,6 +249,37 @@
         ingress.caller_left(self._tables, exchange_id, now_ms)
         self._settle(now_ms)
 
+    def announced(self, told, now_ms):
+        """Take in what the backend server says of itself.
+
+        :param told:
+            :class:`~fescueyard.admission.announcements.Announcement`.
+        :param now_ms: the present time.
+        """
+        admission.take_announcement(
+            self._tables, told, self.settings.announcement_ttl_ms, now_ms
+        )
+
+    def backend_left(self, instance, now_ms):
+        """Take in that the backend server says it is gone.
+
+        :param instance: its id.
+        :param now_ms: the present time.
+        """
+        admission.backend_left(self._tables, instance, now_ms)
+
+    def _told_by_backend(self, backend_answer, request, now_ms):
+        answer = backend_answer(self, request, now_ms)
+        self._settle(now_ms)
+        return answer
+
+    def _ready_answer(self, request, now_ms):
+        ready = systems.is_ready(self._tables)
+        return http.HttpAnswer(200 if ready else 503, [], b"")
+
+    def _metrics_answer(self, request, now_ms):
+        return exposition.answer(self._tables)
+
     # Callbacks of the streams and datagrams.
 
     def message_received(self, stream, message):
@@ -242,16 +358,26 @@
         systems.tick(self._tables, now_ms)
         self._run_effects()
         loop = asyncio.get_running_loop()
-        if systems.may_stop(self._tables, now_ms):
+        if systems.may_stop(self._tables, now_ms) or self._is_overdue(now_ms):
             self._finishing = True
             systems.say_goodbye(self._tables, now_ms)
             self._run_effects()
             self._callers.close_when_idle()
             self._backend_callers.close_when_idle()
+            self._ready.close_when_idle()
+            self._metrics.close_when_idle()
             loop.call_later(GOODBYE_S, self._finish)
             return
         self._schedule_tick(now_ms)
 
+    def _is_overdue(self, now_ms):
+        """Say whether a planned stop has taken all the time it has."""
+        tables = self._tables
+        if not tables.draining:
+            return False
+        spent_ms = now_ms - tables.draining_since_ms
+        return spent_ms > self.settings.stop_timeout_ms - STOP_MARGIN_MS
+
     def _schedule_tick(self, now_ms):
         """Have the next tick run when it is due and no earlier."""
         if self._finishing:
@@ -273,7 +399,26 @@
         LOG.info("Node stopped.")
         self.stopped.set_result(None)
 
+    def _follow_configuration(self):
+        """Take over what the configuration says of the listeners."""
+        state = self._tables.configuration.state
+        if state.version == self._followed_version:
+            return
+        self._followed_version = state.version
+        listener = state.find(
+            configuration_models.Kind.LISTENER, configuration_models.CALLERS
+        )
+        if listener is None:
+            return
+        limits = self._callers.limits
+        limits.header_bytes_max = listener.header_bytes_max
+        limits.body_bytes_max = min(
+            listener.body_bytes_max, self.settings.body_bytes_max
+        )
+        limits.idle_timeout_s = listener.idle_timeout_ms / 1000
+
     def _settle(self, now_ms):
+        self._follow_configuration()
         systems.handle_events(self._tables, now_ms)
         self._run_effects()
         self._schedule_tick(now_ms)
@@ -351,13 +496,14 @@
         node._backend.cancel(future)
 
 
-async def start(settings):
+async def start(settings, **options):
     """Start a node.
 
     :param settings: :class:`~fescueyard.conf.settings.NodeSettings`.
+    :param options: see :class:`NodeProcess`.
     :returns: :class:`NodeProcess`.
     """
-    process = NodeProcess(settings)
+    process = NodeProcess(settings, **options)
     await process.start()
     return process
 
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -8,6 +8,7 @@
 from fescueyard.configuration import replica as copies
 from fescueyard.core import dispatch
 from fescueyard.core import effects
+from fescueyard.core import logs
 from fescueyard.core import timers
 from fescueyard.ingress import systems as ingress
 from fescueyard.limits import systems as limits
@@ -15,6 +16,8 @@
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 
+LOG = logs.PartLogger("node")
+
 TICK_MAX_MS = 50
 TIMER_GRAIN_MS = 10
 HAND_OVER_MAX_MS = 5_000
@@ -92,10 +95,20 @@
     tables.draining_since_ms = now_ms
     admission.leave(tables, now_ms)
     membership.change_own(tables, now_ms, accepting=False, leaving=True)
-    limits.release(tables, now_ms)
+    if not tables.leave_notice_ms:
+        limits.release(tables, now_ms)
     handle_events(tables, now_ms)
 
 
+def is_ready(tables):
+    """Say whether callers should use this node.
+
+    :param tables: the node's tables.
+    :returns: bool.
+    """
+    return not tables.draining and bool(tables.configuration.state.cluster_id)
+
+
 def may_stop(tables, now_ms):
     """Say whether a draining node may go.
 
@@ -109,6 +122,8 @@
     if not tables.draining or tables.calls.rows or tables.runs.rows:
         return False
     waited_ms = now_ms - tables.draining_since_ms
+    if waited_ms < tables.leave_notice_ms:
+        return False
     return waited_ms > HAND_OVER_MAX_MS or not replica.is_replica(tables)
 
 
@@ -144,8 +159,26 @@
     sender,
     now_ms,
 ):
-    if copies.install(tables.configuration, message):
-        tables.pull.answered_turn = tables.pull.turn
+    before = tables.configuration.state.version
+    if not copies.install(tables.configuration, message):
+        LOG.info(
+            "configuration_refused",
+            version=message.version,
+            known=before,
+            source=sender.peer_id,
+        )
+        return
+    tables.pull.answered_turn = tables.pull.turn
+    if message.version != before:
+        LOG.info(
+            "configuration_installed",
+            version=message.version,
+            before=before,
+            objects=len(message.objects),
+            whole=message.whole,
+            source=sender.peer_id,
+            source_age_ms=round(message.age_ms),
+        )
 
 
 @dispatch.receive.register
--- a/fescueyard/node/tables.py
+++ b/fescueyard/node/tables.py
@@ -7,6 +7,7 @@
 from fescueyard.configuration import models as configuration_models
 from fescueyard.configuration import replica
 from fescueyard.core import timers as core_timers
+from fescueyard.ingress import interface as ingress_interface
 from fescueyard.ingress import models as ingress_models
 from fescueyard.limits import models as limit_models
 from fescueyard.node import metrics as node_metrics
@@ -15,6 +16,7 @@
 from fescueyard.retries import quarantine as retry_quarantine
 from fescueyard.routing import messages as routing_messages
 from fescueyard.routing import models as routing_models
+from fescueyard.routing import routes as routing_routes
 
 
 @dataclasses.dataclass
@@ -39,6 +41,10 @@
     :param seeds: ``host:port`` of control VMs, from the settings.
     :param random: for choices that need no secrecy.
     :param secure_random: for tokens and ids that must not be guessed.
+    :param interface: spelling of the interface towards callers.
+    :param routed: callers' requests are matched by the configured routes.
+    :param service: service of this VM's backend server, from the settings.
+    :param leave_notice_ms: see the settings of a node.
     :param draining: the node is stopping and takes no new work.
     :param draining_since_ms: when it began to.
     :param events: events of this process that wait to be handled.
@@ -81,6 +87,15 @@
     default_profile: configuration_models.Profile = dataclasses.field(
         default_factory=configuration_models.Profile
     )
+    routes: routing_routes.RouteTable = dataclasses.field(
+        default_factory=routing_routes.RouteTable
+    )
+    interface: ingress_interface.Interface = dataclasses.field(
+        default_factory=ingress_interface.Interface
+    )
+    routed: bool = False
+    service: str = ""
+    leave_notice_ms: float = 0.0
     draining: bool = False
     draining_since_ms: float = 0.0
     events: list = dataclasses.field(default_factory=list)
@@ -93,6 +108,15 @@
         """
         return self.configuration.control_addresses or self.seeds
 
+    def own_service(self):
+        """Name the service of this VM's backend server.
+
+        :returns: the service; empty when none is known.
+        """
+        if self.service or self.runs.backend is None:
+            return self.service
+        return self.runs.backend.service
+
     def own_profile(self):
         """Find the profile of this VM's backend server.
 
--- /dev/null
+++ b/fescueyard/platform/interface.py
@@ -0,0 +1,57 @@
+"""Headers and refusals as callers and backend servers know them."""
+
+from fescueyard.core import codes
+from fescueyard.core import headers
+from fescueyard.core import http
+from fescueyard.ingress import interface
+
+NAMES = headers.HeaderNames(
+    request_id="x-attempt-id",
+    deadline_ms="x-deadline-ms",
+    customer="x-tenant",
+    caller_service="x-caller",
+    # The server answers 421 when it has another id.
+    expected_instance="x-expect-instance",
+    not_run="x-not-run",
+)
+# Refusals of these kinds are the caller's fault; every other one of a request
+# that has not run is worded as one that may come back.
+_AS_THEY_ARE = frozenset(
+    {
+        codes.BAD_REQUEST,
+        codes.BAD_HEADER,
+        codes.HEADERS_TOO_LARGE,
+        codes.BODY_TOO_LARGE,
+        codes.UNKNOWN_ROUTE,
+        codes.KEY_MISSING,
+        codes.KEY_REFUSED,
+        codes.RATE_EXCEEDED,
+    }
+)
+_COME_BACK_STATUS = 503
+_GATEWAY_STATUSES = (502, 504)
+
+
+def refuse(code, detail="", retry_after_ms=None):
+    """Make the answer of a refusal.
+
+    :param code: :class:`~fescueyard.core.codes.ResultCode`.
+    :param detail: one sentence; the code's title when left out.
+    :param retry_after_ms: when to come back, in ms.
+    :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+    """
+    status = code.http_status
+    if code.outcome is codes.Outcome.NOT_RUN and code not in _AS_THEY_ARE:
+        status = _COME_BACK_STATUS
+    elif code.outcome is not codes.Outcome.NOT_RUN:
+        if status not in _GATEWAY_STATUSES:
+            status = _GATEWAY_STATUSES[0]
+    found = [http.Header("content-type", "text/plain")]
+    if status in (429, _COME_BACK_STATUS) and retry_after_ms is not None:
+        # Callers here read fractions of a second.
+        found.append(http.Header("retry-after", f"{retry_after_ms / 1000:.3f}"))
+    body = f"{code.number} {code.name}: {detail or code.title}\n"
+    return http.HttpAnswer(status, found, body.encode())
+
+
+INTERFACE = interface.Interface(NAMES, refuse)
--- /dev/null
+++ b/fescueyard/platform/operators.py
@@ -0,0 +1,91 @@
+"""The operators' calls on a control VM."""
+
+import dataclasses
+
+from fescueyard.configuration import models
+from fescueyard.control import admin
+from fescueyard.core import codes
+from fescueyard.core import exceptions
+from fescueyard.core import http
+from fescueyard.platform import configurations
+
+PATH = "/v1/config"
+OPERATOR = "operator"
+_STATUSES = {
+    codes.VERSION_CONFLICT: 412,
+    codes.BAD_CHANGE: 400,
+    codes.BROKEN_REFERENCE: 400,
+    codes.UNKNOWN_OBJECT: 404,
+}
+_UNSURE_STATUS = 503
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorCalls:
+    """Reads operators' requests and writes their answers.
+
+    :param profile: :class:`~fescueyard.configuration.models.Profile` that all
+        services run under.
+    """
+
+    profile: models.Profile
+
+    def parse(self, request, operator_rows):
+        """Turn a request into a command.
+
+        :param request: :class:`~fescueyard.core.http.HttpRequest`.
+        :param operator_rows: not used; the network keeps others out.
+        :returns: a command of :mod:`fescueyard.control.admin`.
+        :raises ChangeError: when it is refused.
+        """
+        if request.target.partition("?")[0] != PATH:
+            raise exceptions.ChangeError("", codes.UNKNOWN_OBJECT)
+        if request.method == "GET":
+            return admin.ReadDocument()
+        if request.method != "PUT":
+            raise exceptions.ChangeError(f"method {request.method}")
+        parsed = configurations.parse(request.body, self.profile)
+        return admin.ApplyDocument(
+            admin.document_change(
+                OPERATOR,
+                parsed.number,
+                parsed.base_number,
+                request.body,
+                parsed.objects,
+            )
+        )
+
+    def change_answer(self, result):
+        """Answer a change.
+
+        :param result: :class:`~fescueyard.configuration.state.ChangeResult`.
+        :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+        """
+        code = codes.by_number(result.code)
+        if code is codes.CHANGED:
+            return admin.json_answer(200, {})
+        return self.refusal(code, result.detail)
+
+    def document_answer(self, state):
+        """Answer a read of the configuration.
+
+        :param state: the configuration.
+        :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+        """
+        if not state.applied_document.number:
+            return self.refusal(codes.NO_LEADER, "no configuration yet")
+        return admin.document_answer(state)
+
+    def refusal(self, code, detail=""):
+        """Answer a request that is refused.
+
+        :param code: :class:`~fescueyard.core.codes.ResultCode`.
+        :param detail: one sentence; the code's title when left out.
+        :returns: :class:`~fescueyard.core.http.HttpAnswer`.
+        """
+        status = _STATUSES.get(code, _UNSURE_STATUS)
+        body = {"code": code.number, "detail": detail or code.title}
+        answer = admin.json_answer(status, body)
+        if status == _UNSURE_STATUS:
+            answer.headers.append(http.Header("retry-after", "0.3"))
+        return answer
--- /dev/null
+++ b/fescueyard/platform/settings.py
@@ -0,0 +1,231 @@
+"""The settings file of the machines, as the project's own settings."""
+
+import dataclasses
+import os
+import tomllib
+
+import pydantic
+
+from fescueyard.conf import settings
+from fescueyard.configuration import models as configuration_models
+from fescueyard.core import exceptions
+
+PATH_VARIABLE = "FESCUEYARD_BOOT"
+STREAM_PORT_OFFSET = 0
+METRICS_PORT_OFFSET = 1
+# Missed heartbeats after which a silent backend server counts as gone.
+HEARTBEATS_MISSED_MAX = 4
+# Two readiness questions, a second apart, move callers to other machines.
+LEAVE_NOTICE_MS = 2_600
+BODY_BYTES_MAX = 16 * 1024 * 1024
+
+_OPEN = pydantic.ConfigDict(extra="ignore")
+_Count = pydantic.NonNegativeInt
+
+
+@dataclasses.dataclass(frozen=True)
+class _SelfTable:
+    """What the process and its machine are."""
+
+    __pydantic_config__ = _OPEN
+
+    Node: str
+    Ip: str
+    Zone: str
+    Region: str
+    # True at the very first start of the whole system only.
+    Bootstrap: bool = False
+    DataDir: str = ""
+    # The backend server beside the process; empty on control VMs.
+    AppAddr: str = ""
+    Service: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class _ListenTable:
+    """Addresses to listen on; empty where the role does not serve one."""
+
+    __pydantic_config__ = _OPEN
+
+    Outbound: str = ""
+    Ready: str = ""
+    # On a backend server VM: where its own backend server announces itself.
+    # On a control VM: the operators' API.
+    Control: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class _NetworkTable:
+    __pydantic_config__ = _OPEN
+
+    InternalPorts: list[int]
+    # Addresses of the operators' API, not of the streams.
+    Seeds: list[str]
+    Listen: _ListenTable
+
+
+@dataclasses.dataclass(frozen=True)
+class _PlatformTable:
+    __pydantic_config__ = _OPEN
+
+    HeartbeatMs: _Count = 1_500
+
+
+@dataclasses.dataclass(frozen=True)
+class _ToleranceTable:
+    __pydantic_config__ = _OPEN
+
+    Machines: _Count = 1
+
+
+@dataclasses.dataclass(frozen=True)
+class _BoundsTable:
+    __pydantic_config__ = _OPEN
+
+    GraceS: float = 6.0
+    # False: a machine that is cut off goes on serving requests with keys.
+    FailClosed: bool = True
+    RevokeMs: _Count = 5_000
+    RetryBudgetRatio: float = 0.1
+    BudgetSlack: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class _TermsTable:
+    __pydantic_config__ = _OPEN
+
+    FaultTolerance: _ToleranceTable
+    Bounds: _BoundsTable
+
+
+@dataclasses.dataclass(frozen=True)
+class _File:
+    __pydantic_config__ = _OPEN
+
+    Self: _SelfTable
+    Network: _NetworkTable
+    Terms: _TermsTable
+    Platform: _PlatformTable = _PlatformTable()
+
+
+_ADAPTER = pydantic.TypeAdapter(_File)
+
+
+def read_node():
+    """Read the settings of a node.
+
+    :returns: :class:`~fescueyard.conf.settings.NodeSettings`.
+    :raises SettingsError: naming each field that is wrong.
+    """
+    file = _read()
+    own, listen = file.Self, file.Network.Listen
+    stop_timeout_ms = int(file.Terms.Bounds.GraceS * 1000)
+    values = _process_values(file)
+    values.update(
+        node_id=own.Node,
+        caller_address=listen.Outbound,
+        backend_address=listen.Control,
+        backend_address_guarded=True,
+        ready_address=listen.Ready or None,
+        caller_interface="routes",
+        service=own.Service,
+        announcement_ttl_ms=(
+            file.Platform.HeartbeatMs * HEARTBEATS_MISSED_MAX
+        ),
+        stop_timeout_ms=stop_timeout_ms,
+        leave_notice_ms=min(LEAVE_NOTICE_MS, stop_timeout_ms // 2),
+        body_bytes_max=BODY_BYTES_MAX,
+        answer_bytes_max=BODY_BYTES_MAX,
+    )
+    return settings.load(settings.NodeSettings, values, _environment())
+
+
+def read_control():
+    """Read the settings of a control process.
+
+    :returns: :class:`~fescueyard.conf.settings.ControlSettings`.
+    :raises SettingsError: naming each field that is wrong.
+    """
+    file = _read()
+    values = _process_values(file)
+    founders = values["control_addresses"] if file.Self.Bootstrap else []
+    tolerated = max(1, file.Terms.FaultTolerance.Machines)
+    values.update(
+        data_folder=file.Self.DataDir,
+        admin_address=file.Network.Listen.Control,
+        admin_address_guarded=True,
+        join=True,
+        founders=founders,
+        repairs_members=True,
+        voters_max=min(
+            settings.defaults.VOTERS_MAX, max(3, 2 * tolerated + 1)
+        ),
+        keeps_claims=False,
+    )
+    return settings.load(settings.ControlSettings, values, _environment())
+
+
+def read_profile():
+    """Read what the bounds say of the protection of calls.
+
+    :returns: :class:`~fescueyard.configuration.models.Profile`.
+    :raises SettingsError: naming each field that is wrong.
+    """
+    bounds = _read().Terms.Bounds
+    defaults = configuration_models.Profile()
+    staleness_max_ms = max(1_000, bounds.RevokeMs)
+    if not bounds.FailClosed:
+        staleness_max_ms = configuration_models.STALENESS_MS_MAX
+    return dataclasses.replace(
+        defaults,
+        key_staleness_max_ms=staleness_max_ms,
+        retry_budget_ratio=bounds.RetryBudgetRatio,
+        retry_budget_slack=bounds.BudgetSlack,
+        cut_off_rate_share=0.0 if bounds.FailClosed else 1.0,
+        concurrency_share_min=1.0,
+    )
+
+
+def _read():
+    path = os.environ.get(PATH_VARIABLE, "")
+    try:
+        with open(path, "rb") as file:
+            values = tomllib.load(file)
+        return _ADAPTER.validate_python(values)
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"can't read the settings file {path!r}: {error.strerror}"
+        ) from None
+    except tomllib.TOMLDecodeError as error:
+        raise exceptions.SettingsError(f"settings file: {error}") from None
+    except pydantic.ValidationError as error:
+        raise exceptions.SettingsError(
+            configuration_models.describe(error)
+        ) from None
+
+
+def _process_values(file):
+    first_port = file.Network.InternalPorts[0]
+    stream_port = first_port + STREAM_PORT_OFFSET
+    seeds = []
+    for seed in file.Network.Seeds:
+        host = seed.rpartition(":")[0]
+        seeds.append(f"{host}:{stream_port}")
+    return {
+        "zone": file.Self.Zone,
+        "region": file.Self.Region,
+        "address": f"{file.Self.Ip}:{stream_port}",
+        "control_addresses": seeds,
+        "metrics_address": (
+            f"{file.Self.Ip}:{first_port + METRICS_PORT_OFFSET}"
+        ),
+    }
+
+
+def _environment():
+    """Leave out what the settings file says."""
+    return {
+        name: value
+        for name, value in os.environ.items()
+        if name != PATH_VARIABLE
+    }
--- /dev/null
+++ b/fescueyard/retries/budget.py
@@ -0,0 +1,68 @@
+"""Budget of repeated sends to a service, shared by the whole fleet.
+
+Load pattern: a service fails or sheds part of its requests while callers press
+on, so that every node wants to send again. What the nodes send beyond the
+first of each request stays within a ratio of the requests, plus a slack. Each
+node earns from its own first sends and gets an equal part of the slack, so
+that the sum holds without asking anybody, also through a cut.
+"""
+
+import dataclasses
+
+# Share of the allowed ratio and slack that nodes use; the rest covers calls
+# of repeated runs, which count as repeats at the services they call.
+USED_SHARE = 0.6
+PART_MIN = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class BudgetRow:
+    """Repeats that this node may still send to one service.
+
+    :param left: number of sends.
+    """
+
+    left: float
+
+
+def note_first_send(tables, service, profile):
+    """Earn from the first send of a request.
+
+    :param tables: the node's tables.
+    :param service: name of the service.
+    :param profile: its :class:`~fescueyard.configuration.models.Profile`.
+    """
+    row = _row(tables, service, profile)
+    earned = profile.retry_budget_ratio * USED_SHARE
+    row.left = min(_part(tables, profile), row.left + earned)
+
+
+def take(tables, service, profile):
+    """Take one repeat, if there is one.
+
+    :param tables: the node's tables.
+    :param service: name of the service.
+    :param profile: its :class:`~fescueyard.configuration.models.Profile`.
+    :returns: whether the request may be sent again.
+    """
+    row = _row(tables, service, profile)
+    if row.left < 1:
+        return False
+    row.left -= 1
+    return True
+
+
+def _row(tables, service, profile):
+    budgets = tables.retries.budgets
+    row = budgets.get(service)
+    if row is None:
+        row = BudgetRow(_part(tables, profile))
+        budgets[service] = row
+    return row
+
+
+def _part(tables, profile):
+    """Size of this node's part of the slack."""
+    nodes = max(1, tables.members.nodes_seen_max)
+    part = profile.retry_budget_slack * USED_SHARE / nodes
+    return max(PART_MIN, part)
--- a/fescueyard/retries/models.py
+++ b/fescueyard/retries/models.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from fescueyard.retries import budget as retry_budget
+
 
 @dataclasses.dataclass(slots=True)
 class LedgerRow:
@@ -32,9 +34,13 @@
     """Ledgers kept here, open questions and the node's own budget.
 
     :param budget: retries this node may make now; first tries add to it.
+    :param budgets: repeats of routed requests, by service.
     """
 
     ledgers: dict[str, LedgerRow] = dataclasses.field(default_factory=dict)
     asks: dict[int, AskRow] = dataclasses.field(default_factory=dict)
     last_ask_id: int = 0
     budget: float = 10.0
+    budgets: dict[str, retry_budget.BudgetRow] = dataclasses.field(
+        default_factory=dict
+    )
--- a/fescueyard/routing/choice.py
+++ b/fescueyard/routing/choice.py
@@ -13,6 +13,7 @@
 EJECTION_MS = 1_000
 EJECTION_MAX_MS = 30_000
 REFUSING_MS = 2_000
+UNREACHABLE_MS = 1_000
 EJECTED_SHARE_MAX = 0.34
 
 
@@ -101,6 +102,34 @@
         target.refusing_until_ms = now_ms + REFUSING_MS
 
 
+def note_unreachable(tables, node_id, now_ms):
+    """Pass a node over whose stream broke or did not come up.
+
+    :param tables: the node's tables.
+    :param node_id: the node.
+    :param now_ms: the present time.
+    """
+    target = tables.members.targets.get(node_id)
+    if target is not None:
+        target.unreachable_until_ms = now_ms + UNREACHABLE_MS
+
+
+def has_untried(tables, service, tried, now_ms):
+    """Say whether a backend server is left that had not the request.
+
+    :param tables: the node's tables.
+    :param service: name of the service.
+    :param tried: ids of nodes that had it.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    table = tables.members
+    for node_id in table.by_service.get(service, ()):
+        if node_id not in tried and _is_usable(table, node_id, now_ms):
+            return True
+    return False
+
+
 def note_load(tables, node_id, load, limit, now_ms):
     """Take in the load that rode on an answer.
 
@@ -118,11 +147,11 @@
 
 
 def _candidates(table, service, tried, now_ms):
-    node_ids = []
-    for node_id in table.by_service.get(service, ()):
-        target = table.targets.get(node_id)
-        if target is None or target.refusing_until_ms <= now_ms:
-            node_ids.append(node_id)
+    node_ids = [
+        node_id
+        for node_id in table.by_service.get(service, ())
+        if _is_usable(table, node_id, now_ms)
+    ]
     fresh = [node_id for node_id in node_ids if node_id not in tried]
     # With every candidate tried, another try of one of them beats none.
     usable = fresh or node_ids
@@ -137,6 +166,16 @@
     return [table.rows[node_id] for node_id in healthy]
 
 
+def _is_usable(table, node_id, now_ms):
+    target = table.targets.get(node_id)
+    if target is None:
+        return True
+    return (
+        target.refusing_until_ms <= now_ms
+        and target.unreachable_until_ms <= now_ms
+    )
+
+
 def _better_of_two(tables, members, score):
     if len(members) <= 1:
         return members[0] if members else None
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -226,6 +226,7 @@
     if member.node_id == table.own.node_id:
         table.own = member
     table.rows[member.node_id] = member
+    _count_nodes(table, known, member)
     table.digest ^= models.row_digest(member)
     if known is not None:
         table.digest ^= models.row_digest(known)
@@ -247,6 +248,18 @@
     table.news[member.node_id] = models.News(member, _news_times(table))
 
 
+def _count_nodes(table, known, member):
+    if member.role != models.NODE_ROLE:
+        return
+    here = member.status in (models.ALIVE, models.SUSPECT)
+    was_here = known is not None and known.status in (
+        models.ALIVE,
+        models.SUSPECT,
+    )
+    table.nodes_alive += here - was_here
+    table.nodes_seen_max = max(table.nodes_seen_max, table.nodes_alive)
+
+
 def _index_service(table, known, member, now_ms):
     if known is not None and known.service:
         table.by_service.get(known.service, {}).pop(member.node_id, None)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -52,6 +52,7 @@
     :param failures: failures in a row.
     :param ejected_until_ms: it is passed over until then.
     :param refusing_until_ms: it said that it takes no new work.
+    :param unreachable_until_ms: no stream to it came up or stayed up.
     :param ejections: how often it was ejected without success between.
     """
 
@@ -64,6 +65,7 @@
     ejected_until_ms: float = float("-inf")
     ejections: int = 0
     refusing_until_ms: float = float("-inf")
+    unreachable_until_ms: float = float("-inf")
 
 
 @dataclasses.dataclass
@@ -79,6 +81,9 @@
     :param digest: of all rows, kept up to date with each change.
     :param targets: rows of :class:`TargetRow` by node id.
     :param version: grows with each change of a row.
+    :param nodes_alive: nodes not known to be gone, this one included.
+    :param nodes_seen_max: most nodes, this one included, ever seen alive at
+        once; what is shared out among nodes counts on it through a cut.
     """
 
     own: messages.Member
@@ -97,6 +102,8 @@
     )
     probe_order: list[str] = dataclasses.field(default_factory=list)
     version: int = 0
+    nodes_alive: int = 0
+    nodes_seen_max: int = 1
     digest: int = 0
     last_probe_id: int = 0
     probe_due_ms: float = 0.0
@@ -116,6 +123,7 @@
     table.rows[own.node_id] = own
     table.digest = row_digest(own)
     table.by_address[own.address] = own.node_id
+    table.nodes_alive = int(own.role == NODE_ROLE)
     return table
 
 
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -10,12 +10,26 @@
 from fescueyard.core import codes
 from fescueyard.core import http as http_models
 from fescueyard.core import problems
+from fescueyard.transport import sockets
 
-HEADER_BYTES_MAX = 16 * 1024
-IDLE_TIMEOUT_S = 60.0
-REQUEST_TIMEOUT_S = 30.0
 SWEEP_INTERVAL_S = 1.0
 
+
+@dataclasses.dataclass
+class Limits:
+    """What callers may send, and how long they may take.
+
+    :param body_bytes_max: largest body accepted.
+    :param header_bytes_max: largest target and headers together.
+    :param idle_timeout_s: how long a connection may stay unused.
+    :param request_timeout_s: longest time for a whole request to arrive.
+    """
+
+    body_bytes_max: int
+    header_bytes_max: int = 16 * 1024
+    idle_timeout_s: float = 60.0
+    request_timeout_s: float = 30.0
+
 _SEQUENCE = itertools.count(1)
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
@@ -27,13 +41,13 @@
     and ``caller_left(exchange_id)``.
 
     :param handler: object with the two methods above.
-    :param body_bytes_max: largest body accepted.
+    :param limits: :class:`Limits`.
     :param connections: set that holds the open connections.
     """
 
-    def __init__(self, handler, body_bytes_max, connections):
+    def __init__(self, handler, limits, connections):
         self._handler = handler
-        self._body_bytes_max = body_bytes_max
+        self._limits = limits
         self._connections = connections
         self._transport = None
         self._parser = httptools.HttpRequestParser(self)
@@ -48,8 +62,9 @@
     def connection_made(self, transport):
         """Start waiting for a request."""
         self._transport = transport
+        sockets.prepare(transport)
         self._connections.add(self)
-        self._allow(IDLE_TIMEOUT_S)
+        self._allow(self._limits.idle_timeout_s)
 
     def connection_lost(self, exc):
         """Cancel the request in progress."""
@@ -86,12 +101,16 @@
             self._transport.close()
             return
         self._transport.resume_reading()
-        self._allow(IDLE_TIMEOUT_S)
+        self._allow(self._limits.idle_timeout_s)
         if self._pending:
             self._start(self._pending.pop(0))
         elif self._refusal is not None:
             self._write_refusal()
 
+    def close_after_answer(self):
+        """Close after the answer of this request or the next one."""
+        self._closing = True
+
     def close_when_idle(self):
         """Close now, or after the answer of the request in progress."""
         self._closing = True
@@ -103,7 +122,7 @@
     def on_message_begin(self):
         """Start a new request."""
         self._reset()
-        self._allow(REQUEST_TIMEOUT_S)
+        self._allow(self._limits.request_timeout_s)
 
     def on_url(self, url):
         """Collect the target."""
@@ -124,7 +143,7 @@
         method = self._parser.get_method().decode("latin-1")
         self._method = method
         length = http_models.find_header(self._headers, "content-length")
-        if length is not None and int(length) > self._body_bytes_max:
+        if length is not None and int(length) > self._limits.body_bytes_max:
             self._refuse(codes.BODY_TOO_LARGE)
             return
         expect = http_models.find_header(self._headers, "expect")
@@ -136,7 +155,7 @@
         if self._refusal is not None:
             return
         self._body += body
-        if len(self._body) > self._body_bytes_max:
+        if len(self._body) > self._limits.body_bytes_max:
             self._refuse(codes.BODY_TOO_LARGE)
 
     def on_message_complete(self):
@@ -172,7 +191,7 @@
 
     def _count_header_bytes(self, count):
         self._header_bytes += count
-        if self._header_bytes > HEADER_BYTES_MAX:
+        if self._header_bytes > self._limits.header_bytes_max:
             self._refuse(codes.HEADERS_TOO_LARGE)
 
     def _refuse(self, code):
@@ -212,8 +231,8 @@
     """
 
     def __init__(self, handler, body_bytes_max):
+        self.limits = Limits(body_bytes_max)
         self._handler = handler
-        self._body_bytes_max = body_bytes_max
         self._connections = set()
         self._server = None
 
@@ -225,7 +244,7 @@
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             lambda: HttpConnection(
-                self._handler, self._body_bytes_max, self._connections
+                self._handler, self.limits, self._connections
             ),
             address.host,
             address.port,
@@ -233,8 +252,15 @@
         )
         self._sweep()
 
+    def close_after_answers(self):
+        """Close each connection after its next answer."""
+        for connection in list(self._connections):
+            connection.close_after_answer()
+
     def close_when_idle(self):
         """Stop accepting; close each connection after its request."""
+        if self._server is None:
+            return
         self._server.close()
         for connection in list(self._connections):
             connection.close_when_idle()
--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -4,6 +4,7 @@
 import gc
 import os
 import signal
+import sys
 import time
 
 from fescueyard.core import logs
@@ -11,29 +12,70 @@
 LOG = logs.PartLogger("process")
 
 GC_THRESHOLD = 20_000
+LOG_FLUSH_S = 0.25
 
 
 def run(start):
     """Run a process until it has stopped.
 
     :param start: coroutine function that returns an object with
-        ``stop()``, ``dump()`` and an awaitable ``stopped``.
+        ``stop()``, ``reload()``, ``dump()`` and an awaitable ``stopped``.
     """
-    asyncio.run(_run(start))
+    logs.open_sink(sys.stdout.fileno())
+    try:
+        asyncio.run(_run(start))
+    finally:
+        logs.close_sink()
+
+
+class _Signals:
+    """Signals that arrive before the process is ready wait for it."""
+
+    def __init__(self, loop):
+        self._process = None
+        self._pending = []
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._tell, "stop")
+        loop.add_signal_handler(signal.SIGHUP, self._tell, "reload")
+        loop.add_signal_handler(signal.SIGUSR1, self._tell, "dump")
+
+    def attach(self, process):
+        """Hand the process what came so far, and all that comes."""
+        self._process = process
+        pending, self._pending = self._pending, []
+        for wish in pending:
+            self._tell(wish)
+
+    def _tell(self, wish):
+        if self._process is None:
+            self._pending.append(wish)
+        elif wish == "stop":
+            self._process.stop()
+        elif wish == "reload":
+            self._process.reload()
+        else:
+            _write_dump(self._process)
 
 
 async def _run(start):
+    loop = asyncio.get_running_loop()
+    signals = _Signals(loop)
     process = await start()
     # What start-up made lives as long as the process; collecting it again
     # and again would only delay calls.
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, process.stop)
-    loop.add_signal_handler(signal.SIGINT, process.stop)
-    loop.add_signal_handler(signal.SIGUSR1, _write_dump, process)
+    signals.attach(process)
+    flusher = loop.create_task(_flush_logs())
     await process.stopped
+    flusher.cancel()
+
+
+async def _flush_logs():
+    while True:
+        await asyncio.sleep(LOG_FLUSH_S)
+        logs.flush()
 
 
 def _write_dump(process):
@@ -44,6 +86,10 @@
         return
     name = f"fescueyard-{os.getpid()}-{time.time_ns()}.json"
     path = os.path.join(folder, name)
-    with open(path, "w", encoding="utf-8") as file:
-        file.write(text)
+    try:
+        with open(path, "w", encoding="utf-8") as file:
+            file.write(text)
+    except OSError as error:
+        LOG.error("Dump not written.", path=path, error=str(error))
+        return
     LOG.info("Dump written.", path=path)
--- /dev/null
+++ b/fescueyard/transport/sockets.py
@@ -0,0 +1,28 @@
+"""Socket options that find a dead or silent peer."""
+
+import socket
+
+# Data that stays unacknowledged for so long closes the connection.
+USER_TIMEOUT_MS = 1_500
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+
+
+def prepare(transport):
+    """Set the options of a connection.
+
+    :param transport: its asyncio transport.
+    """
+    found = transport.get_extra_info("socket")
+    if found is None or found.family != socket.AF_INET:
+        return
+    for level, option, value in (
+        (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
+        (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S),
+        (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
+    ):
+        found.setsockopt(level, option, value)
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -9,14 +9,15 @@
 from fescueyard.core import logs
 from fescueyard.core import wire
 from fescueyard.transport import handshake
+from fescueyard.transport import sockets
 
 LOG = logs.PartLogger("stream")
 
 LENGTH = struct.Struct("!I")
 MAC_BYTES = 16
 HANDSHAKE_BYTES_MAX = 4096
-HANDSHAKE_TIMEOUT_S = 3.0
-CONNECT_TIMEOUT_S = 1.0
+HANDSHAKE_TIMEOUT_S = 1.0
+CONNECT_TIMEOUT_S = 0.4
 FRAME_BYTES_MAX = 32 * 1024 * 1024
 UNSENT_BYTES_MAX = 64 * 1024 * 1024
 
@@ -104,6 +105,7 @@
     def connection_made(self, transport):
         """Start the handshake."""
         self._transport = transport
+        sockets.prepare(transport)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HANDSHAKE_TIMEOUT_S, self._time_out)
         if self.address is not None:
@@ -330,6 +332,9 @@
         if stream.address is None:
             return
         self._dialled[stream.address] = stream
+        LOG.info(
+            "stream_ready", peer=stream.peer_id, address=str(stream.address)
+        )
         for message in self._waiting.pop(stream.address, []):
             stream.send(message)
 
@@ -337,6 +342,9 @@
         """Forget a stream and report what could not be sent."""
         self._open.discard(stream)
         if stream.address is not None:
+            LOG.info(
+                "stream_lost", peer=stream.peer_id, address=str(stream.address)
+            )
             if self._dialled.get(stream.address) is stream:
                 del self._dialled[stream.address]
             self._report_unsent(stream.address)
@@ -365,7 +373,10 @@
         )
         try:
             await asyncio.wait_for(connecting, CONNECT_TIMEOUT_S)
-        except OSError:
+        except (OSError, asyncio.TimeoutError) as error:
+            LOG.info(
+                "dial_failed", address=str(address), error=type(error).__name__
+            )
             self._report_unsent(address)
 
     def _report_unsent(self, address):
