--- a/benchmarks/pulls.py
+++ b/benchmarks/pulls.py
@@ -35,6 +35,9 @@
         """Fail: the control process is there."""
         raise RuntimeError(f"unsent to {address}")
 
+    def peer_found(self, address, peer_id):
+        """Nothing depends on it here."""
+
     def stream_lost(self, stream):
         """Ignore the end of the run."""
 
--- a/fescueyard/admission/messages.py
+++ b/fescueyard/admission/messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fescueyard.core import dispatch
 from fescueyard.core import http
 from fescueyard.core import wire
 from fescueyard.retries import messages as retry_messages
@@ -47,6 +48,15 @@
     is_call: bool = False
 
 
+@dispatch.delayed.register
+def _delay_forward(message: Forward, waited_ms):
+    return dataclasses.replace(
+        message,
+        deadline_ms=message.deadline_ms - waited_ms,
+        objective_ms=message.objective_ms - waited_ms,
+    )
+
+
 @wire.message(61)
 @dataclasses.dataclass(slots=True)
 class ForwardAnswer:
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -99,6 +99,8 @@
     :param running: ids of runs at the backend server.
     :param by_token: ids of running runs by call token.
     :param by_attempt: ids by sender and attempt.
+    :param broken_off: requests whose runs broke off, until it is known
+        whether the backend server has crashed.
     """
 
     rows: dict[int, RunRow] = dataclasses.field(default_factory=dict)
@@ -111,6 +113,9 @@
     by_attempt: dict[tuple[str, int], int] = dataclasses.field(
         default_factory=dict
     )
+    broken_off: list[messages.Forward] = dataclasses.field(
+        default_factory=list
+    )
     last_run_id: int = 0
     backend: BackendRow | None = None
     limiter: LimiterRow = dataclasses.field(default_factory=LimiterRow)
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -260,13 +260,44 @@
         return
     crash_id = ""
     _note_connection(tables, code, now_ms)
-    if code is codes.BACKEND_FAILED:
+    if code is codes.BACKEND_FAILED and tables.routed:
+        _probe(tables, row.forward)
+    elif code is codes.BACKEND_FAILED:
         crash_id = quarantine.note_crash(tables, row.forward, now_ms)
+    elif tables.routed and answer is not None:
+        quarantine.note_success(tables, row.forward.fingerprint)
     _note_end(tables, row, now_ms)
     _end(tables, row, code, answer, 0.0, crash_id)
     _start_what_may(tables, now_ms)
 
 
+def _probe(tables, forward):
+    """Find out whether a run broke off because the server crashed."""
+    table = tables.runs
+    if not table.broken_off and table.backend is not None:
+        tables.effects.append(effects.ProbeBackend(table.backend.address))
+    table.broken_off.append(forward)
+
+
+def note_probe(tables, accepted, now_ms):
+    """Take in whether the backend server accepts connections.
+
+    :param tables: the node's tables.
+    :param accepted: whether it does; else its runs broke off in a crash.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    broken_off, table.broken_off = table.broken_off, []
+    if accepted:
+        return
+    LOG.warning("backend_crashed", runs=len(broken_off))
+    for forward in broken_off:
+        quarantine.note_crash(tables, forward, now_ms)
+    if table.backend is not None:
+        table.backend.connect_failures = CONNECT_FAILURES_MAX
+    leave(tables, now_ms)
+
+
 def _note_connection(tables, code, now_ms):
     """Stop new work for a backend server that accepts no connections."""
     backend = tables.runs.backend
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -20,13 +20,14 @@
 from fescueyard.core import exceptions
 from fescueyard.core import logs
 from fescueyard.core import operators
+from fescueyard.routing import membership
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
 from fescueyard.transport import streams
 
 LOG = logs.PartLogger("control")
 
-TICK_S = 0.02
+TICK_S = 0.04
 STOP_TIMEOUT_S = 5.0
 ADMIN_BODY_BYTES_MAX = 16 * 1024 * 1024
 
@@ -151,6 +152,12 @@
         """Take in a datagram."""
         self._receive(message, "", None)
 
+    def peer_found(self, address, peer_id):
+        """Take in which process answers at an address."""
+        membership.note_peer(
+            self._tables, str(address), peer_id, clock.now_ms()
+        )
+
     def stream_lost(self, stream):
         """Forget a stream; it is dialled again on demand."""
         if self._peer_streams.get(stream.peer_id) is stream:
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -399,7 +399,9 @@
     agreement = tables.consensus
     if lease.holds_lease(agreement, now_ms) and message.to_fleet:
         fleet.take_charge(tables.fleet, agreement.vote.term, now_ms)
-        answer = fleet.answer(tables.fleet, tables.state, message, now_ms)
+        answer = fleet.answer(
+            tables.fleet, tables.state, message, now_ms, tables.members
+        )
     else:
         answer = limit_messages.TokenAnswer(
             message.question_id, True, False, []
--- a/fescueyard/core/dispatch.py
+++ b/fescueyard/core/dispatch.py
@@ -54,3 +54,14 @@
     :param address: ``host:port`` it was meant for.
     :param now_ms: the present time.
     """
+
+
+@functools.singledispatch
+def delayed(message, waited_ms):
+    """Take the time off a message for which it waited to be sent.
+
+    :param message: the message.
+    :param waited_ms: how long it waited.
+    :returns: the message to send.
+    """
+    return message
--- a/fescueyard/core/effects.py
+++ b/fescueyard/core/effects.py
@@ -87,3 +87,13 @@
     """
 
     run_id: int
+
+
+@dataclasses.dataclass(slots=True)
+class ProbeBackend:
+    """See whether the VM's backend server accepts connections.
+
+    :param address: ``host:port`` of the backend server.
+    """
+
+    address: str
--- a/fescueyard/core/headers.py
+++ b/fescueyard/core/headers.py
@@ -17,7 +17,7 @@
     :param not_run: a backend server's word that it has not run a request.
     """
 
-    request_id: str = "fescueyard-request-id"
+    request_id: str = "x-request-id"
     deadline_ms: str = "fescueyard-deadline-ms"
     customer: str = "fescueyard-customer"
     caller_service: str = "fescueyard-caller"
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -263,14 +263,16 @@
 
 @dispatch.handle.register
 def _local_answer(event: admission.LocalAnswer, tables, now_ms):
-    _take_answer(tables, event.answer, tables.members.own.node_id, now_ms)
+    own = tables.members.own
+    _take_answer(tables, event.answer, own.node_id, own.address, now_ms)
 
 
 @dispatch.receive.register
 def _receive_answer(
     message: admission_messages.ForwardAnswer, tables, sender, now_ms
 ):
-    _take_answer(tables, message, sender.peer_id, now_ms)
+    address = str(getattr(sender.stream, "address", ""))
+    _take_answer(tables, message, sender.peer_id, address, now_ms)
 
 
 @dispatch.unsent.register
@@ -362,11 +364,19 @@
         tables.effects.append(effects.SendMessage(member.address, forward))
 
 
-def _take_answer(tables, told, node_id, now_ms):
+def _take_answer(tables, told, node_id, address, now_ms):
+    """Take an answer of the node that was meant, or of its successor.
+
+    A node that has restarted answers at its old address under a new id before
+    gossip tells of it.
+    """
     attempt = tables.calls.attempts.get(told.attempt_id)
-    if attempt is None or attempt.node_id != node_id:
+    if attempt is None or not (
+        attempt.node_id == node_id or attempt.address == address
+    ):
         tables.metrics.count("late_answers")
         return
+    node_id = attempt.node_id
     choice.note_load(tables, node_id, told.load, told.limit, now_ms)
     LOG.decision(
         "attempt_answered",
--- a/fescueyard/limits/fleet.py
+++ b/fescueyard/limits/fleet.py
@@ -8,9 +8,12 @@
 held has expired.
 """
 
+import dataclasses
+
 from fescueyard.configuration import models as configuration_models
 from fescueyard.limits import messages
 from fescueyard.limits import models
+from fescueyard.limits import standing
 
 LIFETIME_MS = 2_000
 # What holders are told; shorter, so that a clock that is a twentieth slower
@@ -32,13 +35,15 @@
         table.in_charge_since_ms = now_ms
 
 
-def answer(table, state, ask, now_ms):
+def answer(table, state, ask, now_ms, members=None):
     """Answer a holder's question, while the leader's lease holds.
 
     :param table: :class:`~fescueyard.limits.models.FleetTable`.
     :param state: the configuration.
     :param ask: :class:`~fescueyard.limits.messages.TokenAsk`.
     :param now_ms: the present time.
+    :param members: the control process's member table, where nodes out of
+        sight may grant parts of their own.
     :returns: :class:`~fescueyard.limits.messages.TokenAnswer`.
     """
     grants = []
@@ -53,6 +58,22 @@
                 )
             )
             continue
+        if customer.rate_per_s is None:
+            # The limit was lifted a moment ago.
+            granted = wish.wanted + wish.ahead
+            grants.append(
+                messages.TokenGrant(
+                    wish.customer, granted, False, 0.0, 0.0, HOLDER_LIFETIME_MS
+                )
+            )
+            continue
+        if members is not None:
+            customer = dataclasses.replace(
+                customer,
+                rate_per_s=standing.kept_rate(
+                    state, members, customer.rate_per_s
+                ),
+            )
         bucket = _bucket(table, wish.customer)
         reserve = _unknown_held(table, customer, now_ms)
         _refill(bucket, customer, reserve, now_ms)
--- a/fescueyard/limits/holdings.py
+++ b/fescueyard/limits/holdings.py
@@ -66,6 +66,8 @@
     :param now_ms: the present time.
     """
     expires_at_ms = asked_at_ms + grant.lifetime_ms
+    if grant.lifetime_ms > 0 or grant.exhausted:
+        holding.fed_at_ms = now_ms
     if now_ms < expires_at_ms:
         if now_ms >= holding.expires_at_ms:
             holding.tokens = 0
--- a/fescueyard/limits/models.py
+++ b/fescueyard/limits/models.py
@@ -77,6 +77,7 @@
     :param exhausted_until_ms: the grantor above has none before this.
     :param token_every_ms: time in which the rate yields a token.
     :param reported_held: what the grantor above was told last.
+    :param fed_at_ms: when the fleet's word last reached this process.
     """
 
     tokens: int = 0
@@ -88,6 +89,19 @@
     exhausted_until_ms: float = float("-inf")
     token_every_ms: float = 1.0
     reported_held: int = 0
+    fed_at_ms: float = float("-inf")
+
+
+@dataclasses.dataclass(slots=True)
+class StandingRow:
+    """A node's own part of a customer's rate, for a time without grantor.
+
+    :param level: tokens left.
+    :param refilled_at_ms: time up to which the rate was added.
+    """
+
+    level: float
+    refilled_at_ms: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -95,10 +109,12 @@
     """A call that waits for a token.
 
     :param since_ms: when it came.
+    :param give_up_at_ms: it is refused then at the latest.
     """
 
     call_id: int
     since_ms: float
+    give_up_at_ms: float
 
 
 @dataclasses.dataclass
@@ -108,6 +124,7 @@
     :param pools: what this node holds as its zone's grantor, by customer.
     :param holdings: what it holds for its own calls, by customer.
     :param waiting: calls that wait, by customer, oldest first.
+    :param standing: rows of :class:`StandingRow` by customer.
     :param links: rows of :class:`Link` by grantor's address; the fleet's
         grantor has the key of :data:`FLEET_LINK`.
     """
@@ -118,6 +135,7 @@
         default_factory=dict
     )
     links: dict[str, Link] = dataclasses.field(default_factory=dict)
+    standing: dict[str, StandingRow] = dataclasses.field(default_factory=dict)
     grantors: dict[tuple[int, bool], str] = dataclasses.field(
         default_factory=dict
     )
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 
+from fescueyard.configuration import models as configuration_models
 from fescueyard.core import codes
 from fescueyard.core import dispatch
 from fescueyard.core import effects
@@ -16,11 +17,17 @@
 from fescueyard.limits import holdings
 from fescueyard.limits import messages
 from fescueyard.limits import models
+from fescueyard.limits import standing
 
 WAIT_MAX_MS = 1_900
+WAIT_MIN_MS = 200
+WAIT_OBJECTIVE_SHARE = 0.125
 # A call waits so long for a token when the bucket is empty just now; enough
 # for one to come back that another zone did not use.
 SHORT_WAIT_MS = 60
+CUT_OFF_RETRY_MS = 1_000
+# After so long without the grantor's answer the node's own part is tried.
+STANDING_WAIT_MS = 150
 SAFETY_MS = 20
 
 
@@ -45,24 +52,25 @@
     :param customer: name of its customer.
     :param now_ms: the present time.
     """
+    if not _is_limited(tables, customer):
+        _decide(tables, call_id, customer, codes.OK, 0.0)
+        return
     holding = grantors.own_holding(tables, customer, now_ms)
     holdings.note_demand(holding, 1, now_ms)
     waiting = tables.limits.waiting.get(customer, [])
     if not waiting and holdings.spend(holding, now_ms):
         _decide(tables, call_id, customer, codes.OK, 0.0)
     elif grantors.is_cut_off(tables, customer, now_ms):
-        _decide(
-            tables,
-            call_id,
-            customer,
-            codes.RATE_UNKNOWN,
-            asking.FLEET_FAILED_MS,
-        )
+        code = codes.RATE_UNKNOWN
+        if standing.take(tables, customer, holding, now_ms):
+            code = codes.OK
+        _decide(tables, call_id, customer, code, CUT_OFF_RETRY_MS)
     elif len(waiting) >= _may_wait(holding, now_ms):
         wait_ms = holding.exhausted_until_ms - now_ms
         _decide(tables, call_id, customer, codes.RATE_EXCEEDED, wait_ms)
     else:
-        waiting.append(models.WaitingCall(call_id, now_ms))
+        give_up_at_ms = now_ms + _wait_max_ms(tables, call_id)
+        waiting.append(models.WaitingCall(call_id, now_ms, give_up_at_ms))
         tables.limits.waiting[customer] = waiting
         asking.ask_all(tables, now_ms)
 
@@ -170,6 +178,22 @@
     tables.events.append(RateDecided(call_id, customer, code, retry_after_ms))
 
 
+def _wait_max_ms(tables, call_id):
+    """Say how long a call may wait; less than its objective allows."""
+    call = tables.calls.rows.get(call_id)
+    if call is None or not call.objective_ms:
+        return WAIT_MAX_MS
+    share_ms = call.objective_ms * WAIT_OBJECTIVE_SHARE
+    return min(WAIT_MAX_MS, max(WAIT_MIN_MS, share_ms))
+
+
+def _is_limited(tables, customer):
+    found = tables.configuration.state.find(
+        configuration_models.Kind.CUSTOMER, customer
+    )
+    return found is None or found.rate_per_s is not None
+
+
 def _may_wait(holding, now_ms):
     """Say how many calls may wait for a token.
 
@@ -249,8 +273,14 @@
     table = tables.limits
     for customer in list(table.waiting):
         kept = []
+        holding = grantors.own_holding(tables, customer, now_ms)
         for row in table.waiting[customer]:
-            if now_ms - row.since_ms < WAIT_MAX_MS:
+            waited_ms = now_ms - row.since_ms
+            if waited_ms >= STANDING_WAIT_MS and standing.take(
+                tables, customer, holding, now_ms
+            ):
+                _decide(tables, row.call_id, customer, codes.OK, 0.0)
+            elif now_ms < row.give_up_at_ms:
                 kept.append(row)
             else:
                 _decide(
@@ -258,7 +288,7 @@
                     row.call_id,
                     customer,
                     codes.RATE_UNKNOWN,
-                    WAIT_MAX_MS,
+                    CUT_OFF_RETRY_MS,
                 )
         table.waiting[customer] = kept
         if not kept:
--- a/fescueyard/management/commands/platform.py
+++ b/fescueyard/management/commands/platform.py
@@ -26,7 +26,8 @@
                 interface=interface.INTERFACE,
                 backend_answer=announcements.answer,
                 reload=settings.read_node,
-            )
+            ),
+            settings.path(),
         )
 
     def control(self):
@@ -38,5 +39,6 @@
         process.run(
             lambda: control_app.start(
                 values, interface=calls, reload=settings.read_control
-            )
+            ),
+            settings.path(),
         )
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -26,6 +26,7 @@
 from fescueyard.node import metrics
 from fescueyard.node import systems
 from fescueyard.node import tables as node_tables
+from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 from fescueyard.transport import backend_client
 from fescueyard.transport import datagrams
@@ -308,6 +309,12 @@
             LOG.warning("Datagram refused.", detail=error.detail)
         self._settle(now_ms)
 
+    def peer_found(self, address, peer_id):
+        """Take in which process answers at an address."""
+        membership.note_peer(
+            self._tables, str(address), peer_id, clock.now_ms()
+        )
+
     def stream_lost(self, stream):
         """End what depended on a stream."""
         address = None if stream.address is None else str(stream.address)
@@ -440,6 +447,13 @@
         self._settle(now_ms)
 
 
+    def _probe_ended(self, task):
+        now_ms = clock.now_ms()
+        accepted = not task.cancelled() and task.result()
+        admission.note_probe(self._tables, accepted, now_ms)
+        self._settle(now_ms)
+
+
 @dataclasses.dataclass
 class _Dump:
     """What a dump shows: measurements, then the tables."""
@@ -489,6 +503,12 @@
     future.add_done_callback(functools.partial(node._run_ended, effect.run_id))
 
 
+@_carry_out.register
+def _probe_backend(effect: effects.ProbeBackend, node):
+    task = node._backend.probe(f"http://{effect.address}")
+    task.add_done_callback(node._probe_ended)
+
+
 @_carry_out.register
 def _abort_run(effect: effects.AbortRun, node):
     future = node._run_futures.pop(effect.run_id, None)
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -18,8 +18,8 @@
 
 LOG = logs.PartLogger("node")
 
-TICK_MAX_MS = 50
-TIMER_GRAIN_MS = 10
+TICK_MAX_MS = 100
+TIMER_GRAIN_MS = 20
 HAND_OVER_MAX_MS = 5_000
 PULL_INTERVAL_MS = 500
 PULL_SPREAD_MS = 200
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 import os
 import tomllib
+import typing
 
 import pydantic
 
@@ -58,7 +59,9 @@
 class _NetworkTable:
     __pydantic_config__ = _OPEN
 
-    InternalPorts: list[int]
+    InternalPorts: typing.Annotated[
+        list[int], pydantic.Field(min_length=1)
+    ]
     # Addresses of the operators' API, not of the streams.
     Seeds: list[str]
     Listen: _ListenTable
@@ -111,6 +114,14 @@
 _ADAPTER = pydantic.TypeAdapter(_File)
 
 
+def path():
+    """Find the settings file.
+
+    :returns: its path; empty when the machine names none.
+    """
+    return os.environ.get(PATH_VARIABLE, "")
+
+
 def read_node():
     """Read the settings of a node.
 
@@ -187,14 +198,14 @@
 
 
 def _read():
-    path = os.environ.get(PATH_VARIABLE, "")
+    place = path()
     try:
-        with open(path, "rb") as file:
+        with open(place, "rb") as file:
             values = tomllib.load(file)
         return _ADAPTER.validate_python(values)
     except OSError as error:
         raise exceptions.SettingsError(
-            f"can't read the settings file {path!r}: {error.strerror}"
+            f"can't read the settings file {place!r}: {error.strerror}"
         ) from None
     except tomllib.TOMLDecodeError as error:
         raise exceptions.SettingsError(f"settings file: {error}") from None
--- a/fescueyard/retries/quarantine.py
+++ b/fescueyard/retries/quarantine.py
@@ -86,6 +86,15 @@
     _take(tables, CrashReport(crash_id, fingerprint, 0), now_ms)
 
 
+def note_success(tables, fingerprint):
+    """Clear a request that ran to its end.
+
+    :param tables: the node's tables.
+    :param fingerprint: digest of the request.
+    """
+    tables.quarantine.suspects.pop(fingerprint, None)
+
+
 def is_suspect(tables, fingerprint):
     """Say whether a request was seen at any crash.
 
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -243,11 +243,40 @@
         if known is not None and known.status != member.status:
             tables.events.append(MemberLost(member.node_id, member.address))
     else:
+        _end_predecessor(tables, member, now_ms)
         table.by_address[member.address] = member.node_id
     _index_service(table, known, member, now_ms)
     table.news[member.node_id] = models.News(member, _news_times(table))
 
 
+def _end_predecessor(tables, member, now_ms):
+    """Take a process for dead whose address another one has taken over."""
+    table = tables.members
+    known_id = table.by_address.get(member.address)
+    if known_id in (None, member.node_id, table.own.node_id):
+        return
+    known = table.rows.get(known_id)
+    if known is not None and known.status in (models.ALIVE, models.SUSPECT):
+        _install(
+            tables, dataclasses.replace(known, status=models.DEAD), now_ms
+        )
+
+
+def note_peer(tables, address, node_id, now_ms):
+    """Take in which process answers at an address.
+
+    :param tables: the process's tables.
+    :param address: ``host:port``.
+    :param node_id: the process that proved itself there.
+    :param now_ms: the present time.
+    """
+    known_id = tables.members.by_address.get(address)
+    known = tables.members.rows.get(known_id)
+    if known is None or known_id == node_id:
+        return
+    _install(tables, dataclasses.replace(known, status=models.DEAD), now_ms)
+
+
 def _count_nodes(table, known, member):
     if member.role != models.NODE_ROLE:
         return
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -16,8 +16,11 @@
 from fescueyard.core import codes
 from fescueyard.core import headers as header_names
 from fescueyard.core import http
+from fescueyard.core import logs
 from fescueyard.transport import sockets
 
+LOG = logs.PartLogger("backend")
+
 CONNECT_TIMEOUT_S = 0.5
 IDLE_MAX_S = 30.0
 # A request that must not run twice goes on a connection used just now, since
@@ -311,6 +314,15 @@
             task.add_done_callback(self._tasks.discard)
         return transfer.future
 
+    def probe(self, base_url):
+        """See whether the backend server accepts connections.
+
+        :param base_url: ``http://host:port`` of the backend server.
+        :returns: task that ends with a bool.
+        """
+        address = base_url.removeprefix("http://")
+        return self._loop.create_task(self._probe(address))
+
     def cancel(self, future):
         """Break a request off; its future gets no result.
 
@@ -353,10 +365,15 @@
             connection.abort()
         return None
 
-    async def _connect(self, address, transfer):
-        if len(self._open) >= self._connections_max:
-            self._end_unsent(transfer)
-            return
+    async def _probe(self, address):
+        connection = await self._open_connection(address)
+        if connection is None:
+            return False
+        if connection.usable:
+            self.keep(connection)
+        return True
+
+    async def _open_connection(self, address):
         host, _, port = address.rpartition(":")
         connecting = self._loop.create_connection(
             lambda: _Connection(self, address), host, int(port)
@@ -365,11 +382,23 @@
             _, connection = await asyncio.wait_for(
                 connecting, CONNECT_TIMEOUT_S
             )
-        except (OSError, asyncio.TimeoutError):
-            self._end_unsent(transfer)
-            return
+        except (OSError, asyncio.TimeoutError) as error:
+            LOG.info(
+                "connect_failed", address=address, error=type(error).__name__
+            )
+            return None
         self.opened += 1
         self._open.add(connection)
+        return connection
+
+    async def _connect(self, address, transfer):
+        if len(self._open) >= self._connections_max:
+            self._end_unsent(transfer)
+            return
+        connection = await self._open_connection(address)
+        if connection is None:
+            self._end_unsent(transfer)
+            return
         if transfer.cancelled:
             self.keep(connection)
         elif connection.usable:
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -10,8 +10,10 @@
 from fescueyard.core import codes
 from fescueyard.core import http as http_models
 from fescueyard.core import problems
-from fescueyard.transport import sockets
 
+HEADER_BYTES_MAX = 16 * 1024
+IDLE_TIMEOUT_S = 60.0
+REQUEST_TIMEOUT_S = 30.0
 SWEEP_INTERVAL_S = 1.0
 
 
@@ -26,9 +28,13 @@
     """
 
     body_bytes_max: int
-    header_bytes_max: int = 16 * 1024
-    idle_timeout_s: float = 60.0
-    request_timeout_s: float = 30.0
+    header_bytes_max: int = HEADER_BYTES_MAX
+    idle_timeout_s: float = dataclasses.field(
+        default_factory=lambda: IDLE_TIMEOUT_S
+    )
+    request_timeout_s: float = dataclasses.field(
+        default_factory=lambda: REQUEST_TIMEOUT_S
+    )
 
 _SEQUENCE = itertools.count(1)
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
@@ -62,7 +68,6 @@
     def connection_made(self, transport):
         """Start waiting for a request."""
         self._transport = transport
-        sockets.prepare(transport)
         self._connections.add(self)
         self._allow(self._limits.idle_timeout_s)
 
--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -13,17 +13,19 @@
 
 GC_THRESHOLD = 20_000
 LOG_FLUSH_S = 0.25
+WATCH_S = 1.0
 
 
-def run(start):
+def run(start, watched_path=""):
     """Run a process until it has stopped.
 
     :param start: coroutine function that returns an object with
         ``stop()``, ``reload()``, ``dump()`` and an awaitable ``stopped``.
+    :param watched_path: settings file; the process reloads when it changes.
     """
     logs.open_sink(sys.stdout.fileno())
     try:
-        asyncio.run(_run(start))
+        asyncio.run(_run(start, watched_path))
     finally:
         logs.close_sink()
 
@@ -57,7 +59,7 @@
             _write_dump(self._process)
 
 
-async def _run(start):
+async def _run(start, watched_path):
     loop = asyncio.get_running_loop()
     signals = _Signals(loop)
     process = await start()
@@ -67,9 +69,12 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     signals.attach(process)
-    flusher = loop.create_task(_flush_logs())
+    tasks = [loop.create_task(_flush_logs())]
+    if watched_path:
+        tasks.append(loop.create_task(_watch(watched_path, process)))
     await process.stopped
-    flusher.cancel()
+    for task in tasks:
+        task.cancel()
 
 
 async def _flush_logs():
@@ -78,6 +83,26 @@
         logs.flush()
 
 
+async def _watch(path, process):
+    """Have the process reload when its settings file changes."""
+    known = _modified_at_ns(path)
+    while True:
+        await asyncio.sleep(WATCH_S)
+        found = _modified_at_ns(path)
+        if found != known:
+            known = found
+            LOG.info("settings_changed", path=path)
+            process.reload()
+
+
+def _modified_at_ns(path):
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError as error:
+        LOG.warning("settings_missing", path=path, error=error.strerror)
+        return None
+
+
 def _write_dump(process):
     text = process.dump()
     folder = process.settings.dump_folder
--- a/fescueyard/transport/sockets.py
+++ b/fescueyard/transport/sockets.py
@@ -4,13 +4,13 @@
 
 # Data that stays unacknowledged for so long closes the connection.
 USER_TIMEOUT_MS = 1_500
-KEEPALIVE_IDLE_S = 1
+KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 
 
 def prepare(transport):
-    """Set the options of a connection.
+    """Set the options of a connection whose silence must be found out.
 
     :param transport: its asyncio transport.
     """
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -5,6 +5,8 @@
 import hmac
 import struct
 
+from fescueyard.core import clock
+from fescueyard.core import dispatch
 from fescueyard.core import exceptions
 from fescueyard.core import logs
 from fescueyard.core import wire
@@ -266,12 +268,13 @@
     """All streams of a process; dials on demand.
 
     The handler gets ``message_received(stream, message)``,
-    ``stream_lost(stream)`` and ``message_unsent(address, message)``; the last
-    is called only for messages of which no byte went out.
+    ``peer_found(address, peer_id)``, ``stream_lost(stream)`` and
+    ``message_unsent(address, message)``; the last is called only for messages
+    of which no byte went out.
 
     :param process_id: this process's id.
     :param secret: cluster secret, bytes.
-    :param handler: object with the three methods above.
+    :param handler: object with the four methods above.
     """
 
     def __init__(self, process_id, secret, handler):
@@ -305,7 +308,7 @@
             stream.send(message)
             return
         waiting = self._waiting.setdefault(address, [])
-        waiting.append(message)
+        waiting.append((clock.now_ms(), message))
         if len(waiting) == 1:
             self._start_dialling(address)
 
@@ -335,8 +338,10 @@
         LOG.info(
             "stream_ready", peer=stream.peer_id, address=str(stream.address)
         )
-        for message in self._waiting.pop(stream.address, []):
-            stream.send(message)
+        self._handler.peer_found(stream.address, stream.peer_id)
+        now_ms = clock.now_ms()
+        for since_ms, message in self._waiting.pop(stream.address, []):
+            stream.send(dispatch.delayed(message, now_ms - since_ms))
 
     def stream_lost(self, stream):
         """Forget a stream and report what could not be sent."""
@@ -380,5 +385,5 @@
             self._report_unsent(address)
 
     def _report_unsent(self, address):
-        for message in self._waiting.pop(address, []):
+        for _, message in self._waiting.pop(address, []):
             self._handler.message_unsent(address, message)
--- /dev/null
+++ b/tests/admission/test_announcements.py
@@ -0,0 +1,88 @@
+"""Announcements that come late, twice or from a process that has ended."""
+
+import pytest
+
+from fescueyard.admission import announcements
+from fescueyard.admission import systems as admission
+from tests import setups
+
+TTL_MS = 6_000
+
+
+def _told(instance="i-1", born_ms=100, sequence=1, leaving=False, **fields):
+    values = {
+        "service": "orders",
+        "address": "127.0.0.1:1",
+        "slots": 10,
+        "cold_ms": 0.0,
+    }
+    values.update(fields)
+    return announcements.Announcement(
+        instance,
+        values["service"],
+        values["address"],
+        values["slots"],
+        born_ms,
+        sequence,
+        leaving,
+        values["cold_ms"],
+    )
+
+
+CASES = {
+    "first": ([_told()], ("i-1", False)),
+    "renewed": ([_told(), _told(sequence=2)], ("i-1", False)),
+    "leaving": ([_told(), _told(sequence=2, leaving=True)], ("i-1", True)),
+    "late ready after leaving": (
+        [_told(), _told(sequence=3, leaving=True), _told(sequence=2)],
+        ("i-1", True),
+    ),
+    "ready again after leaving": (
+        [_told(), _told(sequence=2, leaving=True), _told(sequence=3)],
+        ("i-1", True),
+    ),
+    "successor": (
+        [_told(), _told("i-2", born_ms=200, sequence=1)],
+        ("i-2", False),
+    ),
+    "late word of the predecessor": (
+        [_told("i-2", born_ms=200), _told(sequence=9)],
+        ("i-2", False),
+    ),
+    "late leaving of the predecessor": (
+        [_told("i-2", born_ms=200), _told(sequence=9, leaving=True)],
+        ("i-2", False),
+    ),
+    "same id after a restart": (
+        [_told(sequence=9), _told(born_ms=200, sequence=1)],
+        ("i-1", False),
+    ),
+    "other service at the address": (
+        [_told(), _told("i-3", born_ms=300, service="billing")],
+        ("i-3", False),
+    ),
+}
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_latest_word_of_the_latest_process_holds(name):
+    told, expected = CASES[name]
+    world = setups.routed(zones=("zone-a",))
+    tables = world.nodes["orders-zone-a"].tables
+    tables.runs.backend = None
+    for each in told:
+        admission.take_announcement(tables, each, TTL_MS, world.now_ms)
+    backend = tables.runs.backend
+    assert (backend.instance, backend.leaving) == expected
+    assert backend.service == told[-1].service or name.startswith("late")
+
+
+def test_word_of_another_instance_does_not_end_this_one():
+    world = setups.routed(zones=("zone-a",))
+    tables = world.nodes["orders-zone-a"].tables
+    tables.runs.backend = None
+    admission.take_announcement(tables, _told(), TTL_MS, world.now_ms)
+    admission.backend_left(tables, "i-other", world.now_ms)
+    assert not tables.runs.backend.leaving
+    admission.backend_left(tables, "i-1", world.now_ms)
+    assert tables.runs.backend.leaving
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -77,9 +77,20 @@
 
     :param count: number of voters.
     :param seed: seed of every choice.
+    :param policy: what members decide without an operator.
+    :param voters_max: most members with a vote.
     """
 
-    def __init__(self, count, seed):
+    def __init__(
+        self,
+        count,
+        seed,
+        policy=control_tables.ControlPolicy(),
+        voters_max=consensus_models.VOTERS_MAX,
+    ):
+        self._policy = policy
+        self._voters_max = voters_max
+        self._addresses = {}
         self.random = random.Random(seed)
         self.now_ms = 0.0
         self.disks = {}
@@ -114,6 +125,8 @@
             others,
             self.random.getrandbits(32),
             self.now_ms,
+            self._policy,
+            self._voters_max,
         )
 
     def crash(self, member_id):
--- /dev/null
+++ b/tests/control/test_repair.py
@@ -0,0 +1,105 @@
+"""Repair of the control membership without an operator."""
+
+import pytest
+
+from fescueyard.consensus import log
+from fescueyard.control import tables as control_tables
+from tests.control import harness
+
+POLICY = control_tables.ControlPolicy(
+    repairs_members=True, keeps_claims=False
+)
+REPAIR_MS = 4_000
+
+
+def _cluster(seed, count=3, voters_max=3):
+    cluster = harness.Cluster(count, seed, POLICY, voters_max)
+    cluster.run(2_000)
+    return cluster
+
+
+def _voters(cluster):
+    leader = cluster.tables[cluster.leader()]
+    return {row.member_id for row in leader.consensus.members if row.voter}
+
+
+def _change(cluster, name, value, expected=0):
+    operation = cluster.change(
+        cluster.leader(), name, value, expected, f"{name}-{value}"
+    )
+    cluster.run(1_000)
+    assert operation.code == 3000
+    return operation
+
+
+def _check_kept(cluster, name, value):
+    operation = cluster.read(cluster.leader(), name)
+    cluster.run(1_000)
+    assert operation.seen_value == value
+    harness.check_history(cluster.history)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_lost_disk_is_replaced_and_a_second_loss_is_borne(seed):
+    cluster = _cluster(seed)
+    _change(cluster, "first", 1)
+    victim = next(
+        member for member in cluster.tables if member != cluster.leader()
+    )
+    cluster.lose_disk(victim, "m-new")
+    cluster.run(REPAIR_MS)
+    assert _voters(cluster) == {"m0", "m1", "m2", "m-new"} - {victim}
+    second = next(
+        member
+        for member in cluster.tables
+        if member not in (cluster.leader(), "m-new")
+    )
+    cluster.crash(second)
+    cluster.run(REPAIR_MS)
+    _change(cluster, "second", 2)
+    _check_kept(cluster, "first", 1)
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_lost_leader_is_replaced_by_a_spare(seed):
+    cluster = _cluster(seed)
+    cluster.add_learner("m-spare")
+    cluster.run(2_000)
+    assert "m-spare" not in _voters(cluster)
+    _change(cluster, "first", 1)
+    leader = cluster.leader()
+    cluster.crash(leader)
+    cluster.run(2_000 + REPAIR_MS)
+    assert _voters(cluster) == {"m0", "m1", "m2", "m-spare"} - {leader}
+    _check_kept(cluster, "first", 1)
+
+
+def test_silent_voter_stays_without_a_successor():
+    cluster = _cluster(1)
+    victim = next(
+        member for member in cluster.tables if member != cluster.leader()
+    )
+    cluster.crash(victim)
+    cluster.run(10_000)
+    assert victim in _voters(cluster)
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_removed_member_that_comes_back_becomes_the_spare(seed):
+    cluster = _cluster(seed)
+    cluster.add_learner("m-spare")
+    cluster.run(2_000)
+    victim = next(
+        member
+        for member in cluster.tables
+        if member not in (cluster.leader(), "m-spare")
+    )
+    cluster.crash(victim)
+    cluster.run(REPAIR_MS)
+    assert victim not in _voters(cluster)
+    cluster.start(victim)
+    cluster.run(REPAIR_MS)
+    leader = cluster.tables[cluster.leader()]
+    found = log.find_member(leader.consensus, victim)
+    assert found is not None and not found.voter
+    assert len(_voters(cluster)) == 3
--- /dev/null
+++ b/tests/core/test_logs.py
@@ -0,0 +1,67 @@
+"""Logs are bounded and never wait for their reader."""
+
+import os
+import re
+
+import pytest
+
+from fescueyard.core import logs
+
+
+@pytest.fixture(name="pipe")
+def _pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def test_sink_never_waits_for_a_reader_that_stands_still(pipe):
+    reader, writer = pipe
+    sink = logs.Sink(writer)
+    lines = 3 * logs.UNWRITTEN_BYTES_MAX // 1_000
+    for _ in range(lines):
+        sink.write("x" * 1_000, False, 1.0)
+    sink.flush(1.0)
+    assert len(sink._pending) <= logs.UNWRITTEN_BYTES_MAX + 2_000
+    os.set_blocking(reader, False)
+    text = b""
+    while True:
+        try:
+            text += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            if not sink._pending and not sink._suppressed:
+                break
+            sink.flush(2.0)
+    whole = text.count(b"x" * 1_000 + b"\n")
+    assert whole < lines
+    assert f"suppressed lines={lines - whole}".encode() in text
+
+
+def test_decisions_have_a_budget_and_other_lines_do_not(pipe):
+    reader, writer = pipe
+    sink = logs.Sink(writer)
+    os.set_blocking(reader, False)
+    text = b""
+    for number in range(2 * logs.DECISIONS_BURST):
+        sink.write("decision", True, 1.0)
+        if number % 1_000 == 0:
+            sink.flush(1.0)
+            text += os.read(reader, 1 << 20)
+    sink.write("stopped", False, 1.0)
+    sink.flush(1.0)
+    text += os.read(reader, 1 << 20)
+    assert text.count(b"decision\n") == logs.DECISIONS_BURST
+    assert b"stopped\n" in text
+    counts = [int(count) for count in re.findall(rb"lines=(\d+)", text)]
+    assert sum(counts) == logs.DECISIONS_BURST
+
+
+def test_reader_that_left_is_no_error(pipe):
+    reader, writer = os.pipe()
+    os.close(reader)
+    sink = logs.Sink(writer)
+    sink.write("line", False, 1.0)
+    sink.flush(1.0)
+    assert not sink._pending
+    os.close(writer)
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' machines."""
--- /dev/null
+++ b/tests/platform/test_announcements.py
@@ -0,0 +1,111 @@
+"""What backend servers say of themselves, well-formed and not."""
+
+import json
+
+import pytest
+
+from fescueyard.core import exceptions
+from fescueyard.core import http
+from fescueyard.platform import announcements
+
+BEAT = {
+    "Address": "10.1.0.9:8080",
+    "Info": {"Service": "orders", "Version": "v1", "Zone": "a", "Slots": 72},
+    "Status": {"State": "ready", "Sequence": 4, "ColdLeftMs": 0},
+    "born": 1_700_000_000_000,
+}
+
+
+def _changed(path, value):
+    beat = json.loads(json.dumps(BEAT))
+    place = beat
+    for name in path[:-1]:
+        place = place[name]
+    if value is None:
+        del place[path[-1]]
+    else:
+        place[path[-1]] = value
+    return json.dumps(beat).encode()
+
+
+class Process:
+    """Notes what it is told."""
+
+    def __init__(self):
+        self.told = []
+
+    def announced(self, told, now_ms):
+        """Note an announcement."""
+        self.told.append(told)
+
+    def backend_left(self, instance, now_ms):
+        """Note that a backend server left."""
+        self.told.append(instance)
+
+
+def _send(method, target, body=b""):
+    process = Process()
+    request = http.HttpRequest(method, target, [], body)
+    answer = announcements.answer(process, request, 1.0)
+    return answer.status, process.told
+
+
+def test_fields_are_decoded_once():
+    status, told = _send(
+        "PUT", "/v1/instances/i-1", json.dumps(BEAT).encode()
+    )
+    assert status == 200
+    assert told[0].instance == "i-1"
+    assert told[0].service == "orders"
+    assert told[0].slots == 72
+    assert told[0].sequence == 4
+    assert told[0].born_ms == 1_700_000_000_000
+    assert not told[0].leaving
+
+
+def test_draining_is_leaving():
+    body = _changed(("Status", "State"), "draining")
+    assert _send("PUT", "/v1/instances/i-1", body)[1][0].leaving
+
+
+def test_delete_is_leaving():
+    assert _send("DELETE", "/v1/instances/i-1") == (200, ["i-1"])
+
+
+@pytest.mark.parametrize(
+    "body",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"{",
+        _changed(("Info",), None),
+        _changed(("Info", "Service"), None),
+        _changed(("Info", "Service"), ""),
+        _changed(("Info", "Slots"), "72"),
+        _changed(("Info", "Slots"), 0),
+        _changed(("Status", "State"), "asleep"),
+        _changed(("Status", "Sequence"), None),
+        _changed(("Status", "Sequence"), [1]),
+        _changed(("Address",), "nowhere"),
+        _changed(("Address",), 7),
+        _changed(("born",), "yesterday"),
+    ],
+)
+def test_malformed_announcement_names_no_server(body):
+    status, told = _send("PUT", "/v1/instances/i-1", body)
+    assert (status, told) == (400, [])
+    with pytest.raises(exceptions.RequestError):
+        announcements.parse("i-1", body)
+
+
+@pytest.mark.parametrize(
+    ("method", "target", "status"),
+    [
+        ("PUT", "/v1/other", 404),
+        ("GET", "/v1/instances/i-1", 405),
+        ("POST", "/v1/instances/i-1", 405),
+    ],
+)
+def test_other_calls_are_refused(method, target, status):
+    assert _send(method, target)[0] == status
--- /dev/null
+++ b/tests/platform/test_configurations.py
@@ -0,0 +1,189 @@
+"""The operators' configurations, valid and not."""
+
+import copy
+import json
+
+import pytest
+
+from fescueyard.configuration import models
+from fescueyard.configuration import state
+from fescueyard.core import exceptions
+from fescueyard.core import http
+from fescueyard.control import admin
+from fescueyard.platform import configurations
+from fescueyard.platform import operators
+
+CONFIGURATION = {
+    "Version": "r7",
+    "BaseVersion": "r5",
+    "Routes": [
+        {
+            "Name": "r-1",
+            "Host": "orders.example",
+            "PathPrefix": "/a/",
+            "Type": "safe",
+            "TimeoutMs": 1200,
+            "SloMs": 2000,
+            "Priority": 2,
+            "TrafficSplit": [
+                {"Service": "one", "Weight": 90},
+                {"Service": "two", "Weight": 10},
+            ],
+            "Attempts": 2,
+            "Public": False,
+        },
+        {
+            "Name": "r-2",
+            "Host": "orders.example",
+            "PathPrefix": "/b/",
+            "Type": "unsafe",
+            "TimeoutMs": 1500,
+            "SloMs": 2000,
+            "Priority": 0,
+            "Service": "two",
+            "Attempts": 1,
+            "Public": True,
+        },
+    ],
+    "Services": [
+        {"Name": "one", "HealthPath": "/healthz", "MaxConns": 532},
+        {"Name": "two", "HealthPath": "/healthz", "MaxConns": 622},
+    ],
+    "Limits": {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 67108864,
+        "HeaderTimeoutMs": 3000,
+        "IdleTimeoutMs": 15000,
+    },
+    "Tenants": [
+        {
+            "Name": "board",
+            "ApiKeys": ["key-1", "key-2"],
+            "Priority": 1,
+            "RatePerS": 97,
+            "Burst": 97,
+        },
+        {"Name": "free", "ApiKeys": ["key-3"]},
+    ],
+}
+PROFILE = models.Profile()
+
+
+def _changed(change):
+    value = copy.deepcopy(CONFIGURATION)
+    change(value)
+    return json.dumps(value).encode()
+
+
+def _objects(parsed, kind):
+    return {
+        row.name: models.parse_document(kind, row.document)
+        for row in parsed.objects
+        if row.kind == kind.value
+    }
+
+
+def test_fields_are_decoded_once():
+    parsed = configurations.parse(json.dumps(CONFIGURATION).encode(), PROFILE)
+    assert (parsed.number, parsed.base_number) == (7, 5)
+    routes = _objects(parsed, models.Kind.ROUTE)
+    assert routes["r-1"].idempotent and not routes["r-2"].idempotent
+    assert [part.weight for part in routes["r-1"].parts] == [90, 10]
+    assert routes["r-2"].public
+    customers = _objects(parsed, models.Kind.CUSTOMER)
+    assert customers["board"].rate_per_s == 97
+    assert customers["board"].priority == 1
+    assert customers["free"].rate_per_s is None
+    keys = _objects(parsed, models.Kind.KEY)
+    assert sorted(key.customer for key in keys.values()) == [
+        "board",
+        "board",
+        "free",
+    ]
+    assert b"key-1" not in b"".join(row.document for row in parsed.objects)
+
+
+INVALID = {
+    "unknown service": lambda v: v["Routes"][1].update(Service="three"),
+    "unknown part": lambda v: v["Routes"][0]["TrafficSplit"][0].update(
+        Service="three"
+    ),
+    "weight below zero": lambda v: v["Routes"][0]["TrafficSplit"][0].update(
+        Weight=-1
+    ),
+    "no weight": lambda v: [
+        part.update(Weight=0) for part in v["Routes"][0]["TrafficSplit"]
+    ],
+    "long timeout": lambda v: v["Routes"][0].update(TimeoutMs=600_001),
+    "no timeout": lambda v: v["Routes"][0].pop("TimeoutMs"),
+    "empty host": lambda v: v["Routes"][0].update(Host=""),
+    "same place": lambda v: v["Routes"][1].update(PathPrefix="/a/"),
+    "shared key": lambda v: v["Tenants"][1].update(ApiKeys=["key-1"]),
+    "no version": lambda v: v.pop("Version"),
+    "malformed version": lambda v: v.update(Version="seven"),
+    "malformed base": lambda v: v.update(BaseVersion="five"),
+    "other type": lambda v: v.update(Routes="none"),
+    "other kind": lambda v: v["Routes"][0].update(Type="maybe"),
+}
+
+
+@pytest.mark.parametrize("name", INVALID)
+def test_invalid_configuration_is_refused(name):
+    calls = operators.OperatorCalls(PROFILE)
+    body = _changed(INVALID[name])
+    request = http.HttpRequest("PUT", "/v1/config", [], body)
+    with pytest.raises(exceptions.ChangeError) as caught:
+        calls.parse(request, [])
+    assert calls.refusal(caught.value.code).status == 400
+
+
+@pytest.mark.parametrize("share", [0.1, 0.5, 0.9, 0.999])
+def test_configuration_cut_short_is_refused(share):
+    body = json.dumps(CONFIGURATION).encode()
+    with pytest.raises(exceptions.ChangeError):
+        configurations.parse(body[: int(len(body) * share)], PROFILE)
+
+
+def _apply(target, body, index):
+    parsed = configurations.parse(body, PROFILE)
+    change = admin.document_change(
+        "x", parsed.number, parsed.base_number, body, parsed.objects
+    )
+    return operators.OperatorCalls(PROFILE).change_answer(
+        state.apply_document(target, change, index)
+    )
+
+
+def _numbered(number, base, **fields):
+    return _changed(
+        lambda v: v.update(Version=f"r{number}", BaseVersion=base, **fields)
+    )
+
+
+def test_of_two_on_one_version_one_wins_and_resends_get_the_first_answer():
+    target = state.ConfigurationState("c")
+    first = _numbered(5, 0)
+    one = _numbered(7, "r5")
+    other = _numbered(7, "r5", Tenants=[])
+    assert _apply(target, first, 1).status == 200
+    assert _apply(target, one, 2).status == 200
+    assert _apply(target, other, 3).status == 412
+    assert _apply(target, one, 4).status == 200
+    assert _apply(target, other, 5).status == 412
+    assert _apply(target, _numbered(6, "r7"), 6).status == 412
+    read = operators.OperatorCalls(PROFILE).document_answer(target)
+    assert read.body == one
+
+
+def test_refused_order_never_comes_into_force_later():
+    target = state.ConfigurationState("c")
+    _apply(target, _numbered(5, 0), 1)
+    early = _numbered(9, "r7")
+    assert _apply(target, early, 2).status == 412
+    assert _apply(target, _numbered(7, "r5"), 3).status == 200
+    assert _apply(target, early, 4).status == 412
+
+
+def test_unsure_reader_answers_503():
+    calls = operators.OperatorCalls(PROFILE)
+    assert calls.document_answer(state.ConfigurationState()).status == 503
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,109 @@
+"""The machines' settings file, whole and broken."""
+
+import pytest
+
+from fescueyard.conf import checks
+from fescueyard.core import exceptions
+from fescueyard.platform import settings
+
+TEXT = """
+[Self]
+Node = "sidecar-a-1"
+Role = "node"
+Ip = "10.1.0.26"
+Zone = "thrissur-a"
+Region = "kerala-central"
+Bootstrap = true
+DataDir = "/tmp/none"
+AppAddr = "10.1.0.26:8547"
+Service = "huvo11a"
+[Network]
+InternalPorts = [7000, 7015]
+Seeds = ["10.1.0.26:8540", "10.2.0.28:8540", "10.3.0.46:8540"]
+[Network.Listen]
+Outbound = "10.1.0.26:8548"
+Ready = "10.1.0.26:8546"
+Control = "10.1.0.26:8540"
+[Platform]
+HeartbeatMs = 1500
+[Terms.FaultTolerance]
+Machines = 2
+[Terms.Bounds]
+GraceS = 6
+FailClosed = false
+RetryBudgetRatio = 0.2
+BudgetSlack = 49
+Unknown = "ignored"
+"""
+
+
+@pytest.fixture(name="write")
+def _write(tmp_path, monkeypatch):
+    def write(text):
+        path = tmp_path / "settings.toml"
+        path.write_text(text)
+        monkeypatch.setenv("FESCUEYARD_BOOT", str(path))
+        monkeypatch.setenv("FESCUEYARD_CLUSTER_SECRET", "s" * 32)
+
+    return write
+
+
+def test_node(write):
+    write(TEXT)
+    values = settings.read_node()
+    checks.require(values)
+    assert values.address == "10.1.0.26:7000"
+    assert values.control_addresses == [
+        "10.1.0.26:7000",
+        "10.2.0.28:7000",
+        "10.3.0.46:7000",
+    ]
+    assert values.caller_address == "10.1.0.26:8548"
+    assert values.backend_address == "10.1.0.26:8540"
+    assert values.service == "huvo11a"
+    assert values.stop_timeout_ms == 6_000
+
+
+def test_control_founds_at_the_first_start_only(write):
+    write(TEXT)
+    values = settings.read_control()
+    assert values.address in values.founders
+    assert values.voters_max == 5
+    write(TEXT.replace("Bootstrap = true", "Bootstrap = false"))
+    assert settings.read_control().founders == []
+
+
+def test_profile(write):
+    write(TEXT)
+    profile = settings.read_profile()
+    assert profile.retry_budget_ratio == 0.2
+    assert profile.retry_budget_slack == 49
+    assert profile.cut_off_rate_share > 0
+    write(TEXT.replace("FailClosed = false", "FailClosed = true"))
+    closed = settings.read_profile()
+    assert closed.cut_off_rate_share == 0
+    assert closed.key_staleness_max_ms <= 5_000
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "[Self",
+        TEXT.replace('Ip = "10.1.0.26"', "Ip = 7"),
+        TEXT.replace('Ip = "10.1.0.26"', ""),
+        TEXT.replace('Outbound = "10.1.0.26:8548"', 'Outbound = "here"'),
+        TEXT.replace("InternalPorts = [7000, 7015]", "InternalPorts = []"),
+        TEXT.replace("[Network.Listen]", "[Network.Other]"),
+    ],
+)
+def test_broken_file_is_a_numbered_error(write, text):
+    write(text)
+    with pytest.raises(exceptions.SettingsError):
+        settings.read_node()
+
+
+def test_missing_file_is_a_numbered_error(monkeypatch):
+    monkeypatch.setenv("FESCUEYARD_BOOT", "/nowhere/settings.toml")
+    with pytest.raises(exceptions.SettingsError):
+        settings.read_control()
--- /dev/null
+++ b/tests/retries/test_budget.py
@@ -0,0 +1,91 @@
+"""The budget of repeated sends holds over all nodes together."""
+
+import pytest
+
+from fescueyard.core import codes
+from tests import setups
+
+KEY = setups.KEYS["board"]
+RATIO = 0.2
+SLACK = 12.0
+SECONDS = 5
+CALLS_PER_S = 60
+
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_repeats_of_a_failing_service_stay_within_the_budget(seed):
+    world = setups.routed(
+        seed,
+        routes=[("a", {"attempts_max": 3})],
+        retry_budget_ratio=RATIO,
+        retry_budget_slack=SLACK,
+    )
+    names = sorted(world.nodes)
+    calls = SECONDS * CALLS_PER_S
+    for number in range(calls):
+        world.later(
+            number * 1000 / CALLS_PER_S,
+            lambda number=number: world.call(
+                names[number % len(names)],
+                f"/a/x?status=500&id={number}",
+                KEY,
+                host="fleet.example",
+            ),
+        )
+    world.run(SECONDS * 1000 + 2_000)
+    repeats = len(world.runs) - calls
+    assert 0 < repeats <= RATIO * calls + SLACK
+
+
+def test_request_reaches_no_more_servers_than_its_route_allows():
+    world = setups.routed(
+        routes=[("a", {"attempts_max": 2})],
+        retry_budget_ratio=1.0,
+        retry_budget_slack=1_000.0,
+    )
+    told = world.call(
+        "orders-zone-a", "/a/x?status=500", KEY, host="fleet.example"
+    )
+    world.run(500)
+    assert told.answer.status == 500
+    assert len({run.node for run in world.runs}) == len(world.runs) == 2
+
+
+def test_request_that_must_not_run_twice_is_sent_once():
+    world = setups.routed(
+        routes=[("a", {"attempts_max": 3, "idempotent": False})],
+        retry_budget_ratio=1.0,
+        retry_budget_slack=1_000.0,
+    )
+    told = world.call(
+        "orders-zone-a", "/drop", KEY, host="fleet.example", method="POST"
+    )
+    told = world.call(
+        "orders-zone-a",
+        "/a/x?status=500",
+        KEY,
+        method="POST",
+        host="fleet.example",
+    )
+    world.run(500)
+    assert told.answer.status == 500
+    assert len(world.runs) == 1
+
+
+def test_refused_connection_goes_to_another_server_for_free():
+    world = setups.routed(
+        routes=[("a", {"idempotent": False})],
+        retry_budget_ratio=0.0,
+        retry_budget_slack=0.0,
+    )
+    world.nodes["orders-zone-a"].backend.up = False
+    told = [
+        world.call(
+            "orders-zone-a", "/a/x", KEY, method="POST", host="fleet.example"
+        )
+        for _ in range(5)
+    ]
+    world.run(500)
+    assert [row.answer.status for row in told] == [200] * 5
+    assert codes.CONNECT_FAILED.outcome is codes.Outcome.NOT_RUN
--- /dev/null
+++ b/tests/routing/test_routes.py
@@ -0,0 +1,149 @@
+"""Routes: the longest prefix wins, parts keep their weights."""
+
+import collections
+import json
+
+import pytest
+
+from fescueyard.configuration import messages
+from fescueyard.configuration import state as states
+from fescueyard.core import codes
+from fescueyard.routing import routes
+from tests import setups
+
+KEY = setups.KEYS["board"]
+
+
+def _state(*rows):
+    state = states.ConfigurationState("c")
+    for version, (name, prefix, parts) in enumerate(rows, 1):
+        document = {
+            "host": "Fleet.example",
+            "path_prefix": prefix,
+            "parts": [
+                {"service": service, "weight": weight}
+                for service, weight in parts
+            ],
+            "idempotent": True,
+            "timeout_ms": 1000.0,
+            "objective_ms": 500.0,
+        }
+        state.put(
+            messages.ObjectVersion(
+                "route", name, version, json.dumps(document).encode()
+            )
+        )
+    return state
+
+
+def test_longest_prefix_wins():
+    state = _state(
+        ("short", "/a/", [("one", 1.0)]), ("long", "/a/b/", [("two", 1.0)])
+    )
+    table = routes.RouteTable()
+    found = {
+        path: routes.match(table, state, "fleet.EXAMPLE", path)
+        for path in ("/a/x", "/a/b/x", "/a/b", "/c/", "/a")
+    }
+    names = {path: row and row.name for path, row in found.items()}
+    assert names == {
+        "/a/x": "short",
+        "/a/b/x": "long",
+        "/a/b": "short",
+        "/c/": None,
+        "/a": None,
+    }
+    assert routes.match(table, state, "other.example", "/a/x") is None
+
+
+@pytest.mark.parametrize("weights", [(90, 10), (1, 1, 1), (0, 5), (7, 2, 1)])
+def test_parts_keep_their_weights_over_any_short_span(weights):
+    parts = [(f"s{n}", float(weight)) for n, weight in enumerate(weights)]
+    state = _state(("r", "/a/", parts))
+    row = routes.match(routes.RouteTable(), state, "fleet.example", "/a/")
+    chosen = [routes.choose_part(row) for _ in range(1_000)]
+    for start in range(0, 900, 100):
+        counts = collections.Counter(chosen[start : start + 100])
+        for service, weight in parts:
+            wanted = 100 * weight / sum(weights)
+            assert abs(counts[service] - wanted) <= 2
+
+
+def test_no_weight_at_all_chooses_nothing():
+    state = _state(("r", "/a/", [("one", 0.0)]))
+    row = routes.match(routes.RouteTable(), state, "fleet.example", "/a/")
+    assert routes.choose_part(row) is None
+
+
+def _call(world, path, key=KEY, node="orders-zone-b", **headers):
+    return world.call(node, path, key, host="fleet.example", **headers)
+
+
+def test_request_is_served_by_its_route():
+    world = setups.routed(routes=[("a", {})])
+    told = _call(world, "/a/x?body=fleece", x_request_id="id-1")
+    world.run(500)
+    assert told.answer.status == 200
+    assert told.answer.body == b"fleece"
+    headers = {row.name: row.value for row in world.runs[0].request.headers}
+    assert headers["fescueyard-customer"] == "board"
+    assert headers["fescueyard-caller"] == "orders"
+    assert headers["x-request-id"] == "id-1"
+    assert "authorization" not in headers
+    assert 0 < int(headers["fescueyard-deadline-ms"]) <= 1_000
+
+
+def test_caller_can_neither_set_the_systems_headers_nor_pass_its_own():
+    world = setups.routed(routes=[("a", {"public": True})])
+    _call(
+        world,
+        "/a/x",
+        "",
+        fescueyard_customer="limewash",
+        fescueyard_caller="billing",
+        fescueyard_instance="i-1",
+        connection="x-private",
+        x_private="1",
+        x_public="2",
+    )
+    world.run(500)
+    headers = {row.name: row.value for row in world.runs[0].request.headers}
+    assert "fescueyard-customer" not in headers
+    assert headers["fescueyard-caller"] == "orders"
+    assert "fescueyard-instance" not in headers
+    assert "x-private" not in headers
+    assert headers["x-public"] == "2"
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "code"),
+    [
+        ("/none/", KEY, codes.UNKNOWN_ROUTE),
+        ("/a/", "", codes.KEY_MISSING),
+        ("/a/", "unknown", codes.KEY_REFUSED),
+    ],
+)
+def test_refusals(path, key, code):
+    world = setups.routed(routes=[("a", {})])
+    told = _call(world, path, key)
+    world.run(500)
+    assert told.code == code.number
+
+
+def test_old_copy_calls_nothing_unknown():
+    world = setups.routed(routes=[("a", {})], key_staleness_max_ms=60_000)
+    world.cut_zone("zone-b")
+    world.run(6_000)
+    told = [_call(world, "/none/"), _call(world, "/a/", "unknown")]
+    served = _call(world, "/a/")
+    world.run(500)
+    assert [row.code for row in told] == [codes.STALE_CONFIGURATION.number] * 2
+    assert served.answer.status == 200
+
+
+def test_timeout_of_the_route_ends_the_call():
+    world = setups.routed(routes=[("a", {"timeout_ms": 300.0})])
+    told = _call(world, "/a/?ms=5000")
+    world.run(1_000)
+    assert told.code == codes.DEADLINE_EXCEEDED.number
+    assert told.ended_at_ms - told.started_at_ms < 500
--- a/tests/setups.py
+++ b/tests/setups.py
@@ -64,3 +64,62 @@
                 world.add_node(f"{service}-{zone}-{number}", zone, service)
     world.run(4_000)
     return world
+
+
+def routed(
+    seed=1,
+    services=("orders",),
+    zones=ZONES,
+    routes=(),
+    rate_per_s=None,
+    burst=100,
+    slots=20,
+    service_ms=5.0,
+    **profile,
+):
+    """Make nodes that take requests by routes, with one customer, and settle.
+
+    :param routes: rows of name and the fields that differ from a route at
+        ``/NAME/`` of ``fleet.example`` to the first service.
+    :param profile: fields of the profile.
+    :returns: the world, after its first four seconds.
+    """
+    world = worlds.World(seed)
+    put(world, "profile", "standard", **profile)
+    for service in services:
+        put(world, "service", service, profile="standard")
+    put(world, "firm", "board")
+    put(
+        world,
+        "customer",
+        "board",
+        firm="board",
+        rate_per_s=rate_per_s,
+        burst=burst,
+    )
+    grant(world, "board")
+    for name, fields in routes:
+        put_route(world, name, services[0], **fields)
+    for service in services:
+        for zone in zones:
+            world.add_node(
+                f"{service}-{zone}", zone, service, slots, service_ms, True
+            )
+    world.run(4_000)
+    return world
+
+
+def put_route(world, name, service, **fields):
+    """Have a route accepted."""
+    route = {
+        "host": "fleet.example",
+        "path_prefix": f"/{name}/",
+        "parts": [{"service": service, "weight": 1.0}],
+        "idempotent": True,
+        "timeout_ms": 1_000.0,
+        "objective_ms": 500.0,
+        "attempts_max": 2,
+        "priority": 3,
+        "public": False,
+    }
+    put(world, "route", name, **(route | fields))
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -31,6 +31,9 @@
         """Note a message that did not go out."""
         self.unsent.append(message)
 
+    def peer_found(self, address, peer_id):
+        """Nothing depends on it here."""
+
     def stream_lost(self, stream):
         """Count a lost stream."""
         self.lost += 1
--- a/tests/world.py
+++ b/tests/world.py
@@ -165,7 +165,15 @@
         )
         self.cluster._settle(leader.consensus.member_id)
 
-    def add_node(self, name, zone, service="", slots=20, service_ms=5.0):
+    def add_node(
+        self,
+        name,
+        zone,
+        service="",
+        slots=20,
+        service_ms=5.0,
+        routed=False,
+    ):
         """Add a node and its backend server."""
         tables = node_tables.new_tables(
             name,
@@ -177,6 +185,8 @@
             random.Random(self.random.getrandbits(32)),
             routing_models.NODE_ROLE,
         )
+        tables.routed = routed
+        tables.service = service if routed else ""
         backend = Backend(service, slots, service_ms) if service else None
         node = Node(name, tables, backend)
         self.nodes[name] = node
