Turn new work away at the door by the pressure of the chain behind it

Ruled out: too few slots at the entry services; they stood half empty. Change: answers carry the pressure of the service and of what lies behind it; nodes turn new work away by rank, calls of begun work go first; a failure is repeated only while the service answers well; keys are judged by a configuration at least as new as the sender's.

--- a/fescueyard/admission/messages.py
+++ b/fescueyard/admission/messages.py
@@ -28,6 +28,7 @@
         not known.
     :param request_id: the caller's id of the request, for logs.
     :param objective_ms: latency objective left when it was sent; 0 for none.
+    :param version: configuration by which the sender decided.
     :param is_call: a backend server made it while it ran another request.
     """
 
@@ -46,6 +47,7 @@
     request_id: str = ""
     objective_ms: float = 0.0
     is_call: bool = False
+    version: int = 0
 
 
 @dispatch.delayed.register
@@ -69,6 +71,9 @@
     :param crash_id: id of the crash that ended the run; empty for none.
     :param load: requests queued and running at the backend server.
     :param limit: its concurrency limit.
+    :param pressure: share of the load that it, or a service behind it, can't
+        take.
+    :param bottleneck: the service that is short; empty for none.
     """
 
     attempt_id: int
@@ -78,6 +83,8 @@
     crash_id: str
     load: int
     limit: int
+    pressure: float = 0.0
+    bottleneck: str = ""
 
 
 @wire.message(62)
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -20,6 +20,8 @@
 from fescueyard.core import http
 from fescueyard.core import logs
 from fescueyard.core import timers
+from fescueyard.pressure import door
+from fescueyard.pressure import source
 from fescueyard.retries import quarantine
 from fescueyard.routing import membership
 
@@ -214,6 +216,7 @@
     if code is not None:
         _refuse(tables, row, code, now_ms)
         return
+    source.note_arrival(tables.pressure.source)
     queueing.rejoin(table, row)
     queueing.enqueue(table, row)
     grace_ms = RUN_GRACE_MS if tables.routed else 0
@@ -267,7 +270,7 @@
     elif tables.routed and answer is not None:
         quarantine.note_success(tables, row.forward.fingerprint)
     _note_end(tables, row, now_ms)
-    _end(tables, row, code, answer, 0.0, crash_id)
+    _end(tables, row, code, answer, 0.0, now_ms, crash_id)
     _start_what_may(tables, now_ms)
 
 
@@ -337,6 +340,24 @@
             cancel(tables, peer_id, row.forward.attempt_id, now_ms)
 
 
+def tick(tables, now_ms):
+    """Follow the wait in the queue.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    head_ms = 0.0
+    if table.queued_count:
+        oldest_ms = min(
+            table.rows[next(iter(runs))].queued_at_ms
+            for by_customer in table.queued.values()
+            for runs in by_customer.values()
+        )
+        head_ms = now_ms - oldest_ms
+    source.adjust(tables.pressure.source, head_ms, now_ms)
+
+
 def load(table):
     """Count the requests queued and running.
 
@@ -406,10 +427,11 @@
 def _key_is_withdrawn(tables, forward):
     if not forward.key_id:
         return False
-    key = tables.configuration.state.find(
-        configuration_models.Kind.KEY, forward.key_id
-    )
-    return key is None
+    state = tables.configuration.state
+    if state.version < forward.version:
+        # The sender decided by a newer configuration than this one.
+        return False
+    return state.find(configuration_models.Kind.KEY, forward.key_id) is None
 
 
 def _bound_queue(tables, row, now_ms):
@@ -489,6 +511,7 @@
     table = tables.runs
     queueing.remove(table, row)
     row.started_at_ms = now_ms
+    source.note_start(tables.pressure.source, now_ms - row.queued_at_ms)
     row.token = f"{tables.secure_random.getrandbits(TOKEN_BITS):x}"
     table.running[row.run_id] = None
     table.by_token[row.token] = row.run_id
@@ -550,7 +573,7 @@
 def _abort(tables, row, code, now_ms):
     tables.effects.append(effects.AbortRun(row.run_id))
     _note_end(tables, row, now_ms)
-    _end(tables, row, code, None, 0.0)
+    _end(tables, row, code, None, 0.0, now_ms)
     _start_what_may(tables, now_ms)
 
 
@@ -571,16 +594,19 @@
 def _refuse(tables, row, code, now_ms):
     if row.queued:
         queueing.remove(tables.runs, row)
-    _end(tables, row, code, None, _retry_after_ms(tables))
+    _end(tables, row, code, None, _retry_after_ms(tables), now_ms)
 
 
-def _end(tables, row, code, answer, retry_after_ms, crash_id=""):
+def _end(tables, row, code, answer, retry_after_ms, now_ms, crash_id=""):
     table = tables.runs
     del table.rows[row.run_id]
     del table.by_attempt[row.peer_id, row.forward.attempt_id]
     table.running.pop(row.run_id, None)
     table.by_token.pop(row.token, None)
     tables.metrics.count(f"runs_{code.name}")
+    pressure = door.chain_pressure(
+        tables.pressure, tables.own_service(), now_ms
+    )
     LOG.decision(
         "run_ended",
         request=row.forward.request_id,
@@ -594,6 +620,8 @@
         queued=table.queued_count,
         limit=int(table.limiter.limit),
         priority=row.forward.priority,
+        pressure=round(pressure.share, 3),
+        bottleneck=pressure.bottleneck,
     )
     told = messages.ForwardAnswer(
         row.forward.attempt_id,
@@ -603,6 +631,8 @@
         crash_id,
         load(table),
         int(table.limiter.limit),
+        pressure.share,
+        pressure.bottleneck,
     )
     if row.stream is None:
         tables.events.append(LocalAnswer(told))
--- a/fescueyard/configuration/replica.py
+++ b/fescueyard/configuration/replica.py
@@ -58,9 +58,12 @@
     :param question: the question.
     :param age_ms: age of the copy now, in ms.
     :param control_addresses: control VMs to tell.
-    :returns: the answer, or None when this copy is of another cluster or
-        older than the asker's.
+    :returns: the answer, or None when this copy is of another cluster,
+        older than the asker's, or was not known to be whole since this process
+        started: a log read back from disk may lack what others accepted.
     """
+    if age_ms == float("inf"):
+        return None
     if question.cluster_id not in ("", state.cluster_id):
         return None
     if question.version > state.version or not state.cluster_id:
--- a/fescueyard/core/codes.py
+++ b/fescueyard/core/codes.py
@@ -127,6 +127,14 @@
     _NOT,
     "The call chain has used up its retries.",
 )
+TURNED_AWAY = _define(
+    2106,
+    "turned_away",
+    503,
+    _NOT,
+    "A service further down can't take more work now.",
+    True,
+)
 
 # 2200 to 2299: the fleet can't take the request just now.
 NO_BACKEND = _define(
--- a/fescueyard/ingress/models.py
+++ b/fescueyard/ingress/models.py
@@ -53,6 +53,9 @@
         the chain's retry allowance.
     :param reached: backend servers that got it so far.
     :param objective_ms: latency objective; 0 for none.
+    :param rank: order in which new work is turned away; the lowest goes last.
+    :param failed: a backend server's failure, kept while another one is
+        tried.
     :param is_call: it came on a route that backend servers call on.
     """
 
@@ -84,6 +87,8 @@
     attempts_max: int | None = None
     reached: int = 0
     objective_ms: float = 0.0
+    rank: int = 0
+    failed: http.HttpAnswer | None = None
     is_call: bool = False
 
 
--- a/fescueyard/ingress/routed.py
+++ b/fescueyard/ingress/routed.py
@@ -7,12 +7,15 @@
 from fescueyard.ingress import models
 from fescueyard.ingress import parsing
 from fescueyard.keys import systems as keys
+from fescueyard.pressure import door
 from fescueyard.retries import messages as retry_messages
 from fescueyard.routing import routes
 
 # A copy this old is no ground to call a route or key unknown.
 DOUBT_AGE_MS = 1_800
 PRIORITY_LOWEST = 7
+CUSTOMER_PRIORITY_STEP = PRIORITY_LOWEST + 1
+CALL_PRIORITY = -1
 
 
 def parse(tables, exchange_id, request, now_ms):
@@ -33,10 +36,9 @@
         raise exceptions.RequestError("", codes.NO_BACKEND)
     profile = tables.profile_of(service)
     identity = _identify(tables, route, profile, request, now_ms)
-    timeout_ms = min(
-        parsing.number(request, names.deadline_ms, route.timeout_ms),
-        route.timeout_ms,
-    )
+    left_ms = parsing.number(request, names.deadline_ms, route.timeout_ms)
+    timeout_ms = min(left_ms, route.timeout_ms)
+    priority = _priority(tables, route, identity)
     cleaned = keys.clean(request, request.target, names.own())
     table = tables.calls
     table.last_call_id += 1
@@ -49,7 +51,7 @@
         idempotency_key="",
         customer=identity.customer,
         key_id=identity.key_id,
-        priority=_priority(tables, route, identity),
+        priority=priority,
         started_at_ms=now_ms,
         deadline_at_ms=now_ms + timeout_ms,
         chain=retry_messages.Chain("", tables.members.own.address, 1),
@@ -63,6 +65,7 @@
         attempts_max=route.attempts_max,
         objective_ms=route.objective_ms,
         is_call=route.public,
+        rank=door.rank(tables.pressure, row.name, priority, left_ms),
     )
 
 
@@ -107,10 +110,14 @@
 
 
 def _priority(tables, route, identity):
+    """Order by the customer's priority first, then by the route's."""
+    if route.public:
+        # Work that has begun goes before new work.
+        return CALL_PRIORITY
     customer = tables.configuration.state.find(
         configuration_models.Kind.CUSTOMER, identity.customer
     )
-    priority = route.priority
+    priority = min(route.priority, PRIORITY_LOWEST)
     if customer is not None and customer.priority is not None:
-        priority = customer.priority
-    return min(priority, PRIORITY_LOWEST)
+        priority += CUSTOMER_PRIORITY_STEP * customer.priority
+    return priority
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -22,6 +22,8 @@
 from fescueyard.keys import systems as keys
 from fescueyard.limits import systems as limits
 from fescueyard.once import systems as claims
+from fescueyard.pressure import door
+from fescueyard.pressure import models as pressure_models
 from fescueyard.retries import budget
 from fescueyard.retries import quarantine
 from fescueyard.retries import systems as retries
@@ -38,6 +40,8 @@
 # another node so often at most.
 REROUTES_MAX = 3
 RETRY_AFTER_SPREAD = 1.0
+TURNED_AWAY_MIN_MS = 300
+TURNED_AWAY_MS = 1_500
 
 # Failures that say something about the backend server or its node.
 _NODE_FAILURES = frozenset(
@@ -211,11 +215,40 @@
         limits.give_back(tables, event, now_ms)
         return
     if event.code is codes.OK:
+        share = _turned_away_share(tables, call, now_ms)
+        if share:
+            limits.give_back(tables, event, now_ms)
+            _turn_away(tables, call, share, now_ms)
+            return
         _claim_or_attempt(tables, call, now_ms)
     else:
         _finish_refused(tables, call, event.code, event.retry_after_ms, now_ms)
 
 
+def _turned_away_share(tables, call, now_ms):
+    if not tables.routed or call.is_call:
+        return 0.0
+    return door.turns_away(tables.pressure, call.service, call.rank, now_ms)
+
+
+def _turn_away(tables, call, share, now_ms):
+    """Refuse new work at the door; the busier, the later it may return."""
+    spread = 1 + RETRY_AFTER_SPREAD * tables.random.random()
+    wait_ms = (TURNED_AWAY_MIN_MS + TURNED_AWAY_MS * share) * spread
+    LOG.decision(
+        "turned_away",
+        request=call.request_id,
+        call=call.call_id,
+        rank=call.rank,
+        share=round(share, 3),
+        bottleneck=tables.pressure.doors[call.service].bottleneck,
+        told_ms_ago=round(
+            now_ms - tables.pressure.doors[call.service].told_at_ms
+        ),
+    )
+    _finish_refused(tables, call, codes.TURNED_AWAY, wait_ms, now_ms)
+
+
 @dispatch.handle.register
 def _claim_decided(event: claims.ClaimDecided, tables, now_ms):
     call = tables.calls.rows.get(event.call_id)
@@ -346,6 +379,7 @@
         call.request_id,
         call.objective_ms - (now_ms - call.started_at_ms),
         call.is_call,
+        tables.configuration.state.version,
     )
     LOG.decision(
         "sent",
@@ -377,6 +411,14 @@
         tables.metrics.count("late_answers")
         return
     node_id = attempt.node_id
+    call = tables.calls.rows[attempt.call_id]
+    door.note_answer(
+        tables.pressure,
+        call.service,
+        pressure_models.Pressure(told.pressure, told.bottleneck),
+        call.is_call,
+        now_ms,
+    )
     choice.note_load(tables, node_id, told.load, told.limit, now_ms)
     LOG.decision(
         "attempt_answered",
@@ -391,7 +433,6 @@
     if told.code in (codes.LEAVING.number, codes.NO_BACKEND.number):
         choice.note_refusing(tables, node_id, now_ms)
     if told.crash_id:
-        call = tables.calls.rows[attempt.call_id]
         quarantine.note_told_crash(
             tables, call.fingerprint, told.crash_id, now_ms
         )
@@ -416,7 +457,15 @@
         choice.note_unreachable(tables, attempt.node_id, now_ms)
     if code in _REACHED_SERVER or answer is not None:
         call.reached += 1
+    if tables.routed and answer is not None:
+        budget.note_outcome(
+            tables,
+            call.service,
+            tables.profile_of(call.service),
+            answer.status not in _FAILED_STATUSES,
+        )
     if answer is not None and _is_worth_another(tables, call, answer, now_ms):
+        call.failed = answer
         LOG.decision(
             "sent_again",
             request=call.request_id,
@@ -456,6 +505,9 @@
         return False
     if answer.status not in _FAILED_STATUSES:
         return False
+    profile = tables.profile_of(call.service)
+    if budget.is_failing(tables, call.service, profile):
+        return False
     return _may_reach_another(tables, call, now_ms)
 
 
@@ -518,6 +570,11 @@
 
 
 def _finish_refused(tables, call, code, retry_after_ms, now_ms):
+    if call.failed is not None:
+        # A backend server has answered; that is what is known.
+        answer = _outer_answer(tables, call.failed, codes.OK)
+        _finish(tables, call, codes.OK, call.failed, answer, now_ms)
+        return
     if call.doubt_code and code.outcome is codes.Outcome.NOT_RUN:
         # An earlier attempt may have run, so "not run" would be a lie.
         code = codes.by_number(call.doubt_code)
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -130,7 +130,8 @@
         grants.append(_grant(tables, message, wish, now_ms))
     answer = messages.TokenAnswer(message.question_id, False, True, grants)
     tables.effects.append(effects.SendReply(sender.stream, answer))
-    asking.ask_all(tables, now_ms)
+    if any(pool.wanted for pool in tables.limits.pools.values()):
+        asking.ask_all(tables, now_ms)
 
 
 @dispatch.receive.register
@@ -158,7 +159,8 @@
         if holding is not None:
             holdings.install(holding, grant, asked_at_ms, now_ms)
     _serve_waiting(tables, now_ms)
-    asking.ask_all(tables, now_ms)
+    if tables.limits.waiting:
+        asking.ask_all(tables, now_ms)
 
 
 @dispatch.unsent.register
--- /dev/null
+++ b/fescueyard/management/commands/trace.py
@@ -0,0 +1,124 @@
+"""``fescueyard trace``: one request's story out of the logs of processes."""
+
+import collections
+import dataclasses
+import os
+import re
+
+from fescueyard.core import exceptions
+
+_LINE = re.compile(
+    r"(?P<at_s>[0-9]+\.[0-9]{3}) (?P<level>[DIWE]) "
+    r"\[(?P<part>[a-z_]+)\] (?P<event>.*)$"
+)
+_FIELD = re.compile(r"([a-z_]+)=('(?:[^'\\]|\\.)*'|[^ ]+)")
+# Outcomes within so long of the request show what its service looked like.
+AROUND_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Line:
+    """One line of a log.
+
+    :param process: name of the process, from its file's name.
+    :param at_s: time of day in seconds.
+    :param text: the line as written.
+    :param event: name of the event.
+    :param fields: values by name, as written.
+    """
+
+    process: str
+    at_s: float
+    text: str
+    event: str
+    fields: dict[str, str]
+
+
+def run(request_id, *paths):
+    """Print what each process decided about a request.
+
+    :param request_id: the caller's id of the request, or its beginning.
+    :param paths: log files, one for each process.
+    """
+    if not paths:
+        raise exceptions.SettingsError("name the log files to read")
+    lines = []
+    for path in paths:
+        lines += read(path)
+    print(render(str(request_id), lines), end="")
+
+
+def read(path):
+    """Read a log file.
+
+    :param path: the file.
+    :returns: list of :class:`Line`; what is no line of a log is left out.
+    :raises SettingsError: when the file can't be read.
+    """
+    process = os.path.splitext(os.path.basename(path))[0]
+    try:
+        with open(path, encoding="utf-8", errors="replace") as file:
+            found = [_parse(process, text) for text in file]
+    except OSError as error:
+        raise exceptions.SettingsError(
+            f"can't read {path}: {error.strerror}"
+        ) from None
+    return [line for line in found if line is not None]
+
+
+def render(request_id, lines):
+    """Write a request's story and what its service looked like then.
+
+    :param request_id: the caller's id of the request, or its beginning.
+    :param lines: list of :class:`Line` of all processes.
+    :returns: text.
+    """
+    calls = set()
+    story = []
+    for line in lines:
+        if line.fields.get("request", "").startswith(request_id):
+            story.append(line)
+            calls.add((line.process, line.fields.get("call")))
+    for line in lines:
+        place = (line.process, line.fields.get("call"))
+        if "request" not in line.fields and place in calls and place[1]:
+            story.append(line)
+    if not story:
+        return f"no line of request {request_id}\n"
+    story.sort(key=lambda line: line.at_s)
+    text = [f"{line.process}: {line.text}" for line in story]
+    text += _surroundings(story, lines)
+    return "\n".join(text) + "\n"
+
+
+def _surroundings(story, lines):
+    """Count how requests ended on the same processes around that time."""
+    since_s = story[0].at_s - AROUND_S
+    until_s = story[-1].at_s + AROUND_S
+    processes = {line.process for line in story}
+    counts = collections.Counter()
+    for line in lines:
+        if line.event not in ("answered", "run_ended"):
+            continue
+        if line.process in processes and since_s <= line.at_s <= until_s:
+            reason = line.fields.get("reason", "")
+            counts[line.process, line.event, reason] += 1
+    text = ["", f"within {AROUND_S:g} s of it:"]
+    for (process, event, reason), count in sorted(counts.items()):
+        text.append(f"  {process:24} {event:10} {reason:24} {count}")
+    return text
+
+
+def _parse(process, text):
+    match = _LINE.search(text)
+    if match is None:
+        return None
+    event, _, rest = match["event"].partition(" ")
+    fields = {
+        name: value.strip("'") for name, value in _FIELD.findall(rest)
+    }
+    return Line(
+        process, float(match["at_s"]), match.group(0), event, fields
+    )
+
+
--- a/fescueyard/management/main.py
+++ b/fescueyard/management/main.py
@@ -20,6 +20,7 @@
     "operator_token": "run",
     "platform": "Platform",
     "settings_table": "run",
+    "trace": "run",
 }
 EXIT_ERROR = 1
 _PACKAGE = "fescueyard.management.commands"
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -36,6 +36,8 @@
         dispatch.handle(event, tables, now_ms)
     membership.tick(tables, now_ms)
     limits.tick(tables, now_ms)
+    if tables.routed:
+        admission.tick(tables, now_ms)
     replica.tick(tables, now_ms)
     _pull(tables, now_ms)
     handle_events(tables, now_ms)
--- a/fescueyard/node/tables.py
+++ b/fescueyard/node/tables.py
@@ -12,6 +12,7 @@
 from fescueyard.limits import models as limit_models
 from fescueyard.node import metrics as node_metrics
 from fescueyard.once import models as claim_models
+from fescueyard.pressure import models as pressure_models
 from fescueyard.retries import models as retry_models
 from fescueyard.retries import quarantine as retry_quarantine
 from fescueyard.routing import messages as routing_messages
@@ -78,6 +79,9 @@
     claims: claim_models.ClaimTable = dataclasses.field(
         default_factory=claim_models.ClaimTable
     )
+    pressure: pressure_models.PressureTable = dataclasses.field(
+        default_factory=pressure_models.PressureTable
+    )
     timers: core_timers.TimerTable = dataclasses.field(
         default_factory=core_timers.TimerTable
     )
--- /dev/null
+++ b/fescueyard/pressure/__init__.py
@@ -0,0 +1,1 @@
+"""Back-pressure along the call graph, and turning work away at the door."""
--- /dev/null
+++ b/fescueyard/pressure/door.py
@@ -0,0 +1,130 @@
+"""Turning new work away where it enters, least important first.
+
+Load pattern: a surge at several entry services whose chains all end at one
+service that is short. Every answer carries the pressure of the chain behind
+it. A node that takes new work counts it by rank for each bottleneck and turns
+away the share that the bottleneck can't take, from the least important rank
+up. Calls of work already begun always pass.
+"""
+
+from fescueyard.pressure import models
+from fescueyard.pressure import source
+
+SMOOTHING = 0.3
+TOLD_HALF_LIFE_MS = 700
+COUNT_HALF_LIFE_MS = 1_000
+CALLED_MS = 2_000
+SHARE_MIN = 0.02
+# Some of each rank always passes, so that none is starved.
+RANK_SHARE_MAX = 0.75
+# A request with less of its time left than this share came back.
+RETURNED_SHARE = 0.85
+
+
+def note_answer(table, service, told, is_call, now_ms):
+    """Take in the pressure that an answer carried.
+
+    :param table: :class:`~fescueyard.pressure.models.PressureTable`.
+    :param service: service that answered.
+    :param told: :class:`~fescueyard.pressure.models.Pressure`.
+    :param is_call: a backend server's call was answered.
+    :param now_ms: the present time.
+    """
+    row = table.doors.setdefault(service, models.DoorRow())
+    present = _present_share(row, now_ms)
+    row.share = present + SMOOTHING * (told.share - present)
+    if told.bottleneck:
+        row.bottleneck = told.bottleneck
+    row.told_at_ms = now_ms
+    if is_call:
+        row.called_at_ms = now_ms
+
+
+def chain_pressure(table, service, now_ms):
+    """Say what this VM's backend server and all behind it can't take.
+
+    :param table: :class:`~fescueyard.pressure.models.PressureTable`.
+    :param service: service of the backend server.
+    :param now_ms: the present time.
+    :returns: :class:`~fescueyard.pressure.models.Pressure`.
+    """
+    worst = source.own_pressure(table.source, service)
+    for row in table.doors.values():
+        if now_ms - row.called_at_ms > CALLED_MS:
+            continue
+        share = _present_share(row, now_ms)
+        if share > worst.share:
+            worst = models.Pressure(share, row.bottleneck)
+    return worst
+
+
+def rank(table, route, priority, left_ms):
+    """Rank a new request; one that came back goes before its equals.
+
+    :param table: :class:`~fescueyard.pressure.models.PressureTable`.
+    :param route: name of its route.
+    :param priority: its priority.
+    :param left_ms: time that its caller has left.
+    :returns: whole number, the lowest is the most important.
+    """
+    longest_ms = max(table.longest_ms.get(route, 0.0), left_ms)
+    table.longest_ms[route] = longest_ms
+    returned = left_ms < RETURNED_SHARE * longest_ms
+    return 2 * priority + (0 if returned else 1)
+
+
+def turns_away(table, service, request_rank, now_ms):
+    """Decide whether a new request is turned away.
+
+    :param table: :class:`~fescueyard.pressure.models.PressureTable`.
+    :param service: service that it is for.
+    :param request_rank: its rank.
+    :param now_ms: the present time.
+    :returns: share of its rank that is turned away now, if this request is
+        one of them; 0 if it may pass.
+    """
+    row = table.doors.get(service)
+    if row is None or not row.bottleneck:
+        return 0.0
+    domain = table.domains.setdefault(row.bottleneck, models.DomainRow())
+    _age(domain, now_ms)
+    counted = domain.ranks.setdefault(request_rank, models.RankRow())
+    counted.count += 1
+    share = _present_share(row, now_ms)
+    if share < SHARE_MIN:
+        return 0.0
+    rank_share = _share_of_rank(domain, request_rank, share)
+    counted.credit = min(2.0, counted.credit + rank_share)
+    if counted.credit < 1.0:
+        return 0.0
+    counted.credit -= 1.0
+    return rank_share
+
+
+def _share_of_rank(domain, request_rank, share):
+    """Share of a rank to turn away, so that all ranks together give way."""
+    remaining = share * sum(each.count for each in domain.ranks.values())
+    for number in sorted(domain.ranks, reverse=True):
+        count = domain.ranks[number].count
+        taken = min(remaining, RANK_SHARE_MAX * count)
+        if number == request_rank:
+            return taken / count if count else 0.0
+        remaining -= taken
+    return 0.0
+
+
+def _age(domain, now_ms):
+    elapsed_ms = now_ms - domain.aged_at_ms
+    if elapsed_ms < COUNT_HALF_LIFE_MS / 10:
+        return
+    domain.aged_at_ms = now_ms
+    factor = 0.5 ** (elapsed_ms / COUNT_HALF_LIFE_MS)
+    for each in domain.ranks.values():
+        each.count *= factor
+
+
+def _present_share(row, now_ms):
+    if not row.share:
+        return 0.0
+    age_ms = max(0.0, now_ms - row.told_at_ms)
+    return row.share * 0.5 ** (age_ms / TOLD_HALF_LIFE_MS)
--- /dev/null
+++ b/fescueyard/pressure/models.py
@@ -0,0 +1,94 @@
+"""Tables of the pressure at a backend server and at the door of a node."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True)
+class Pressure:
+    """How much of the load a service can't take just now.
+
+    :param share: share of the requests to turn away, 0 to 1.
+    :param bottleneck: service whose backend servers are short; empty for none.
+    """
+
+    share: float
+    bottleneck: str
+
+
+NONE = Pressure(0.0, "")
+
+
+@dataclasses.dataclass
+class SourceRow:
+    """What this VM's backend server can't take, from its queue.
+
+    :param kept: share of the load that it can take.
+    :param arrived: requests since the last adjustment.
+    :param started: requests started since then.
+    :param waited_ms: sum of their waits.
+    :param late_rounds: adjustments in a row that found the wait too long.
+    :param adjust_due_ms: when the next adjustment is due.
+    """
+
+    kept: float = 1.0
+    arrived: int = 0
+    started: int = 0
+    waited_ms: float = 0.0
+    late_rounds: int = 0
+    adjust_due_ms: float = 0.0
+
+
+@dataclasses.dataclass(slots=True)
+class DoorRow:
+    """Pressure that answers of a service told of.
+
+    :param share: share of the requests to turn away, smoothed.
+    :param bottleneck: service that is short.
+    :param told_at_ms: time of the last answer.
+    :param called_at_ms: when a backend server's call last went there.
+    """
+
+    share: float = 0.0
+    bottleneck: str = ""
+    told_at_ms: float = float("-inf")
+    called_at_ms: float = float("-inf")
+
+
+@dataclasses.dataclass
+class RankRow:
+    """Requests of one rank that lead to one bottleneck.
+
+    :param count: of late; older ones count less.
+    :param credit: part of a request that is still to be turned away.
+    """
+
+    count: float = 0.0
+    credit: float = 0.0
+
+
+@dataclasses.dataclass
+class DomainRow:
+    """All new requests here that lead to one bottleneck.
+
+    :param ranks: rows by rank; the lowest rank is the most important.
+    :param aged_at_ms: time up to which the counts were aged.
+    """
+
+    ranks: dict[int, RankRow] = dataclasses.field(default_factory=dict)
+    aged_at_ms: float = 0.0
+
+
+@dataclasses.dataclass
+class PressureTable:
+    """A node's pressure, as bottleneck and as door.
+
+    :param source: of this VM's backend server.
+    :param doors: rows by service.
+    :param domains: rows by bottleneck.
+    :param longest_ms: longest time left seen of each route's requests.
+    """
+
+    source: SourceRow = dataclasses.field(default_factory=SourceRow)
+    doors: dict[str, DoorRow] = dataclasses.field(default_factory=dict)
+    domains: dict[str, DomainRow] = dataclasses.field(default_factory=dict)
+    longest_ms: dict[str, float] = dataclasses.field(default_factory=dict)
--- a/fescueyard/retries/budget.py
+++ b/fescueyard/retries/budget.py
@@ -9,10 +9,14 @@
 
 import dataclasses
 
-# Share of the allowed ratio and slack that nodes use; the rest covers calls
-# of repeated runs, which count as repeats at the services they call.
-USED_SHARE = 0.6
+# Share of the allowed ratio and slack that nodes use. Calls of a repeated run
+# count as repeats at every service below it, so the levels of a chain add up.
+USED_SHARE = 0.25
 PART_MIN = 1.0
+GOOD_WEIGHT = 0.05
+# With fewer good answers than this the service itself fails, and what it
+# failed is not worth another server's time.
+GOOD_SHARE_MIN = 0.8
 
 
 @dataclasses.dataclass(slots=True)
@@ -20,9 +24,11 @@
     """Repeats that this node may still send to one service.
 
     :param left: number of sends.
+    :param good: share of answers of late that were no failures.
     """
 
     left: float
+    good: float = 1.0
 
 
 def note_first_send(tables, service, profile):
@@ -37,6 +43,29 @@
     row.left = min(_part(tables, profile), row.left + earned)
 
 
+def note_outcome(tables, service, profile, good):
+    """Take in how an attempt ended.
+
+    :param tables: the node's tables.
+    :param service: name of the service.
+    :param profile: its :class:`~fescueyard.configuration.models.Profile`.
+    :param good: whether a backend server answered without a failure.
+    """
+    row = _row(tables, service, profile)
+    row.good += GOOD_WEIGHT * (good - row.good)
+
+
+def is_failing(tables, service, profile):
+    """Say whether the service as a whole fails.
+
+    :param tables: the node's tables.
+    :param service: name of the service.
+    :param profile: its :class:`~fescueyard.configuration.models.Profile`.
+    :returns: bool.
+    """
+    return _row(tables, service, profile).good < GOOD_SHARE_MIN
+
+
 def take(tables, service, profile):
     """Take one repeat, if there is one.
 
--- /dev/null
+++ b/tests/management/test_trace.py
@@ -0,0 +1,44 @@
+"""One request's story out of several logs."""
+
+from fescueyard.management.commands import trace
+
+ENTRY = """\
+100.000 I [node] Node started. node='n1'
+100.100 D [ingress] accepted request='abc' call=7 route='r' service='orders'
+100.101 D [ingress] sent request='abc' call=7 attempt=9 node='n2'
+100.150 D [ingress] accepted request='other' call=8 route='r'
+100.300 D [ingress] attempt_answered call=7 attempt=9 node='n2' code=2103
+100.301 D [ingress] answered request='abc' call=7 code=2103 reason='evicted'
+100.400 D [ingress] answered request='other' call=8 code=1000 reason='ok'
+not a line of a log
+"""
+SERVER = """\
+100.105 D [admission] run_ended request='abc' attempt=9 reason='evicted'
+100.200 D [admission] run_ended request='xyz' attempt=3 reason='evicted'
+"""
+
+
+def test_story_is_told_in_order_across_processes(tmp_path):
+    lines = []
+    for name, text in (("entry", ENTRY), ("server", SERVER)):
+        path = tmp_path / f"{name}.log"
+        path.write_text(text)
+        lines += trace.read(str(path))
+    told = trace.render("abc", lines).splitlines()
+    events = [line.split("] ")[1].split()[0] for line in told[:5]]
+    assert events == [
+        "accepted",
+        "sent",
+        "run_ended",
+        "attempt_answered",
+        "answered",
+    ]
+    assert not any("other" in line for line in told)
+    assert any(
+        "server" in line and "evicted" in line and line.endswith("2")
+        for line in told
+    )
+
+
+def test_unknown_request_is_said():
+    assert trace.render("abc", []) == "no line of request abc\n"
--- /dev/null
+++ b/tests/pressure/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fescueyard.pressure."""
