Find the backend server again after a restart; steadier pressure

Cause: after a restart a node knew its backend server only at its next announcement, up to 1.5 s later, and the others were overrun meanwhile; the pressure overshot, since what is turned away shows only after the calls on their way have come.

--- a/fescueyard/admission/queueing.py
+++ b/fescueyard/admission/queueing.py
@@ -49,15 +49,22 @@
     return ahead
 
 
-def next_to_start(table, may_run):
+def next_to_start(table, may_run, overloaded=False):
     """Choose the run to start next.
 
     :param table: :class:`~fescueyard.admission.models.RunTable`.
     :param may_run: says of a run whether it may start now.
+    :param overloaded: the queue has been too long for a while. Calls of begun
+        work then go in the order of time left, most first: those that have
+        waited longest belong to requests that end too late anyway.
     :returns: the run, or None when there is none.
     """
     for priority in sorted(table.queued):
         heads = []
+        if overloaded and priority < 0:
+            rows = [row for row in _queued(table, priority) if may_run(row)]
+            if rows:
+                return max(rows, key=lambda row: row.deadline_at_ms)
         for runs in table.queued[priority].values():
             rows = (table.rows[run_id] for run_id in runs)
             heads += itertools.islice(filter(may_run, rows), 1)
@@ -66,6 +73,12 @@
     return None
 
 
+def _queued(table, priority):
+    for runs in table.queued[priority].values():
+        for run_id in runs:
+            yield table.rows[run_id]
+
+
 def least_important(table):
     """Choose the run to evict first.
 
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -471,7 +471,9 @@
     table = tables.runs
     while limiter.may_start(table.limiter, len(table.running)):
         row = queueing.next_to_start(
-            table, lambda each: _may_run_now(tables, each)
+            table,
+            lambda each: _may_run_now(tables, each),
+            source.is_overloaded(tables.pressure.source),
         )
         if row is None:
             return
--- a/fescueyard/conf/settings.py
+++ b/fescueyard/conf/settings.py
@@ -81,6 +81,8 @@
         ``routes`` by the configured routes.
     :param service: service of this VM's backend server; callers on this VM
         count as this service.
+    :param server_address: ``host:port`` of the backend server, to find it
+        again after a start before it announces itself; empty for none.
     :param announcement_ttl_ms: silence of the backend server for so long
         means that it is gone, where its announcement says nothing.
     :param stop_timeout_ms: a planned stop takes no longer.
@@ -99,6 +101,7 @@
     ready_address: AddressText | None = None
     caller_interface: typing.Literal["services", "routes"] = "services"
     service: str = ""
+    server_address: AddressText | None = None
     announcement_ttl_ms: PositiveMs = defaults.ANNOUNCEMENT_TTL_MS
     stop_timeout_ms: PositiveMs = defaults.STOP_TIMEOUT_MS
     leave_notice_ms: typing.Annotated[int, pydantic.Field(ge=0)] = 0
--- a/fescueyard/configuration/models.py
+++ b/fescueyard/configuration/models.py
@@ -120,6 +120,8 @@
     :param idempotent_methods: methods that may run twice without harm.
     :param connections_max: most connections to one backend server; 0 leaves
         it to the node.
+    :param health_path: path that a healthy backend server answers with its
+        id; empty for none.
     """
 
     __pydantic_config__ = _STRICT
@@ -130,6 +132,7 @@
         default_factory=lambda: ["GET", "HEAD", "OPTIONS", "PUT", "DELETE"]
     )
     connections_max: Natural = 0
+    health_path: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
--- a/fescueyard/core/headers.py
+++ b/fescueyard/core/headers.py
@@ -14,6 +14,7 @@
     :param caller_service: service on whose VM the request began; set by the
         system.
     :param expected_instance: id of the backend server that is meant.
+    :param instance: id of the backend server, on its answers.
     :param not_run: a backend server's word that it has not run a request.
     """
 
@@ -22,6 +23,7 @@
     customer: str = "fescueyard-customer"
     caller_service: str = "fescueyard-caller"
     expected_instance: str = "fescueyard-instance"
+    instance: str = "fescueyard-instance-id"
     not_run: str = "fescueyard-not-run"
 
     def own(self):
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -6,6 +6,7 @@
 import random
 import secrets
 
+from fescueyard.admission import finding
 from fescueyard.admission import systems as admission
 from fescueyard.conf import settings as conf_settings
 from fescueyard.configuration import models as configuration_models
@@ -151,6 +152,7 @@
         self._run_futures = {}
         self._finishing = False
         self._followed_version = -1
+        self._finds_left = finding.TRIES_MAX
         self._timer = None
         self._tick_due_ms = 0.0
 
@@ -412,6 +414,7 @@
         if state.version == self._followed_version:
             return
         self._followed_version = state.version
+        self._find_backend()
         listener = state.find(
             configuration_models.Kind.LISTENER, configuration_models.CALLERS
         )
@@ -447,6 +450,33 @@
         self._settle(now_ms)
 
 
+    def _find_backend(self):
+        """Ask the backend server for its id, until it is known."""
+        address = self.settings.server_address
+        if address is None or self._finds_left <= 0:
+            return
+        path = finding.health_path(self._tables)
+        if path is None:
+            return
+        self._finds_left -= 1
+        request = http.HttpRequest("GET", path, [], b"")
+        future = self._backend.fetch(f"http://{address}", request, True)
+        future.add_done_callback(self._backend_found)
+
+    def _backend_found(self, future):
+        now_ms = clock.now_ms()
+        answer = future.result().answer
+        address = self.settings.server_address
+        told = finding.announcement(self._tables, address, answer)
+        LOG.info(
+            "backend_asked",
+            status=None if answer is None else answer.status,
+            instance=None if told is None else told.instance,
+        )
+        if told is not None and self._tables.runs.backend is None:
+            self.announced(told, now_ms)
+        self._settle(now_ms)
+
     def _probe_ended(self, task):
         now_ms = clock.now_ms()
         accepted = not task.cancelled() and task.result()
--- a/fescueyard/platform/configurations.py
+++ b/fescueyard/platform/configurations.py
@@ -52,6 +52,7 @@
     __pydantic_config__ = _OPEN
 
     Name: str
+    HealthPath: str = ""
     MaxConns: int = 0
 
 
@@ -136,7 +137,9 @@
         )
     for each in found.Services:
         service = models.Service(
-            PROFILE, connections_max=max(0, each.MaxConns)
+            PROFILE,
+            connections_max=max(0, each.MaxConns),
+            health_path=each.HealthPath,
         )
         rows.append(_row(models.Kind.SERVICE, each.Name, service))
     for each in found.Tenants:
--- a/fescueyard/platform/interface.py
+++ b/fescueyard/platform/interface.py
@@ -12,6 +12,7 @@
     caller_service="x-caller",
     # The server answers 421 when it has another id.
     expected_instance="x-expect-instance",
+    instance="x-instance-id",
     not_run="x-not-run",
 )
 # Refusals of these kinds are the caller's fault; every other one of a request
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -140,6 +140,7 @@
         ready_address=listen.Ready or None,
         caller_interface="routes",
         service=own.Service,
+        server_address=own.AppAddr or None,
         announcement_ttl_ms=(
             file.Platform.HeartbeatMs * HEARTBEATS_MISSED_MAX
         ),
--- a/fescueyard/pressure/door.py
+++ b/fescueyard/pressure/door.py
@@ -10,8 +10,8 @@
 from fescueyard.pressure import models
 from fescueyard.pressure import source
 
-SMOOTHING = 0.3
-TOLD_HALF_LIFE_MS = 700
+SMOOTHING = 0.5
+TOLD_HALF_LIFE_MS = 1_500
 COUNT_HALF_LIFE_MS = 1_000
 CALLED_MS = 2_000
 SHARE_MIN = 0.02
--- a/fescueyard/pressure/models.py
+++ b/fescueyard/pressure/models.py
@@ -27,6 +27,7 @@
     :param started: requests started since then.
     :param waited_ms: sum of their waits.
     :param late_rounds: adjustments in a row that found the wait too long.
+    :param hold_until_ms: no further reduction before this.
     :param adjust_due_ms: when the next adjustment is due.
     """
 
@@ -35,6 +36,7 @@
     started: int = 0
     waited_ms: float = 0.0
     late_rounds: int = 0
+    hold_until_ms: float = 0.0
     adjust_due_ms: float = 0.0
 
 
--- a/fescueyard/pressure/source.py
+++ b/fescueyard/pressure/source.py
@@ -12,7 +12,11 @@
 WAIT_TARGET_MS = 40
 # One busy moment is no overload.
 LATE_ROUNDS = 2
-SHRINK_MIN = 0.8
+# The pressure needs about so long to take effect; a wait that lasts is more.
+OVERLOADED_ROUNDS = 9
+# What was turned away shows here only after the calls on their way have come.
+HOLD_MS = 300
+SHRINK_MIN = 0.75
 SHRINK_MAX = 0.95
 GROW = 1.05
 KEPT_MIN = 0.1
@@ -54,14 +58,24 @@
         row.kept = min(1.0, row.kept * GROW)
     else:
         row.late_rounds += 1
-        if row.late_rounds >= LATE_ROUNDS:
+        if row.late_rounds >= LATE_ROUNDS and now_ms >= row.hold_until_ms:
             ratio = row.started / max(1, row.arrived)
             shrink = min(SHRINK_MAX, max(SHRINK_MIN, ratio))
             row.kept = max(KEPT_MIN, row.kept * shrink)
+            row.hold_until_ms = now_ms + HOLD_MS
     row.arrived = row.started = 0
     row.waited_ms = 0.0
 
 
+def is_overloaded(row):
+    """Say whether the wait has been too long for a while.
+
+    :param row: :class:`~fescueyard.pressure.models.SourceRow`.
+    :returns: bool.
+    """
+    return row.late_rounds >= OVERLOADED_ROUNDS
+
+
 def own_pressure(row, service):
     """Say what the backend server can't take.
 
--- a/tests/admission/test_announcements.py
+++ b/tests/admission/test_announcements.py
@@ -3,7 +3,9 @@
 import pytest
 
 from fescueyard.admission import announcements
+from fescueyard.admission import finding
 from fescueyard.admission import systems as admission
+from fescueyard.core import http
 from tests import setups
 
 TTL_MS = 6_000
@@ -86,3 +88,35 @@
     assert not tables.runs.backend.leaving
     admission.backend_left(tables, "i-1", world.now_ms)
     assert tables.runs.backend.leaving
+
+
+def test_health_answer_finds_the_server_until_it_announces_itself():
+    world = setups.routed(zones=("zone-a", "zone-b"))
+    tables = world.nodes["orders-zone-a"].tables
+    setups.put(
+        world,
+        "service",
+        "orders",
+        profile="standard",
+        health_path="/healthz",
+    )
+    world.run(1_500)
+    assert finding.health_path(tables) is None
+    tables.runs.backend = None
+    assert finding.health_path(tables) == "/healthz"
+    name = tables.interface.names.instance
+    healthy = http.HttpAnswer(200, [http.Header(name, "i-1")], b"")
+    for answer in (
+        None,
+        http.HttpAnswer(503, [http.Header(name, "i-1")], b""),
+        http.HttpAnswer(200, [], b""),
+    ):
+        assert finding.announcement(tables, "127.0.0.1:1", answer) is None
+    told = finding.announcement(tables, "127.0.0.1:1", healthy)
+    admission.take_announcement(tables, told, TTL_MS, world.now_ms)
+    assert tables.runs.backend.instance == "i-1"
+    admission.take_announcement(
+        tables, _told(sequence=7, slots=33), TTL_MS, world.now_ms
+    )
+    assert tables.runs.backend.slots == 33
+    assert not tables.runs.backend.leaving
--- /dev/null
+++ b/tests/pressure/test_door.py
@@ -0,0 +1,185 @@
+"""New work is turned away by rank, calls of begun work pass."""
+
+import collections
+
+import pytest
+
+from fescueyard.core import codes
+from fescueyard.pressure import door
+from fescueyard.pressure import models
+from tests import setups
+
+KEY = setups.KEYS["board"]
+
+
+def _table(share, services=("front",)):
+    table = models.PressureTable()
+    for service in services:
+        table.doors[service] = models.DoorRow(share, "deep", 0.0)
+    return table
+
+
+def _press(table, ranks, rounds=600):
+    """Have requests of some ranks come in turn; count those turned away."""
+    turned = collections.Counter()
+    for number in range(rounds):
+        now_ms = number * 10.0
+        for row in table.doors.values():
+            row.told_at_ms = now_ms
+        for service, rank in ranks:
+            if door.turns_away(table, service, rank, now_ms):
+                turned[rank] += 1
+    return {rank: turned[rank] / rounds for _, rank in ranks}
+
+
+def test_least_important_rank_gives_way_first():
+    table = _table(0.3)
+    shares = _press(table, [("front", 1), ("front", 5)])
+    assert shares[1] == 0
+    assert shares[5] == pytest.approx(0.6, abs=0.05)
+
+
+def test_no_rank_gives_way_wholly_and_the_next_one_follows():
+    table = _table(0.6)
+    shares = _press(table, [("front", 1), ("front", 5)])
+    assert shares[5] == pytest.approx(door.RANK_SHARE_MAX, abs=0.05)
+    assert shares[1] == pytest.approx(0.45, abs=0.06)
+
+
+def test_services_that_end_at_one_bottleneck_share_one_order():
+    table = _table(0.25, ("front", "other"))
+    shares = _press(table, [("front", 1), ("other", 5)])
+    assert shares[1] == 0
+    assert shares[5] == pytest.approx(0.5, abs=0.05)
+
+
+def test_pressure_that_nobody_confirms_fades():
+    table = _table(0.8)
+    now_ms = 6 * door.TOLD_HALF_LIFE_MS
+    assert not any(
+        door.turns_away(table, "front", 5, now_ms) for _ in range(50)
+    )
+
+
+def test_request_that_came_back_goes_before_its_equals():
+    table = models.PressureTable()
+    first = door.rank(table, "r", 3, 6_000.0)
+    again = door.rank(table, "r", 3, 4_000.0)
+    more_important = door.rank(table, "r", 2, 6_000.0)
+    assert more_important < again < first
+
+
+DEEP_SLOTS = 10
+DEEP_MS = 20
+CALLS = 4
+SECONDS = 6
+# The first answers of a surge tell of it; what began before may be lost.
+CONVERGED_MS = 1_000
+
+
+def _goodput(seed, overload, monkeypatch, with_door=True):
+    """Replay a surge whose chains end at a service that is short.
+
+    :returns: served share of what the deep service could carry, and the
+        served shares of the important and the other requests.
+    """
+    if not with_door:
+        monkeypatch.setattr(door, "turns_away", lambda *args: 0.0)
+    routes = [
+        ("call", {"timeout_ms": 500.0, "objective_ms": 400.0}),
+        (
+            "call/deep/urgent",
+            {
+                "timeout_ms": 500.0,
+                "objective_ms": 400.0,
+                "priority": 0,
+                "idempotent": False,
+            },
+        ),
+    ]
+    world = setups.routed(
+        seed,
+        services=("front", "deep"),
+        routes=routes,
+        slots=120,
+        retry_budget_ratio=0.2,
+        retry_budget_slack=20.0,
+        concurrency_share_min=1.0,
+    )
+    setups.put_route(
+        world, "deep", "deep", public=True, timeout_ms=700.0
+    )
+    for node in world.nodes.values():
+        if node.backend.service == "deep":
+            node.backend.slots = DEEP_SLOTS
+            node.backend.service_ms = DEEP_MS
+            node.tables.runs.backend.slots = DEEP_SLOTS
+            node.tables.runs.limiter.limit = DEEP_SLOTS
+    world.run(1_000)
+    capacity_per_s = 3 * DEEP_SLOTS * 1000 / DEEP_MS / CALLS
+    calls = int(SECONDS * capacity_per_s * overload)
+    fronts = sorted(name for name in world.nodes if "front" in name)
+    told = {"urgent": [], "other": []}
+
+    def call(number):
+        kind = "urgent" if number % 4 == 0 else "other"
+        told[kind].append(
+            world.call(
+                fronts[number % len(fronts)],
+                f"/call/deep/{kind}/?ms={DEEP_MS}&times={CALLS}&id={number}",
+                KEY,
+                "POST" if kind == "urgent" else "GET",
+                host="fleet.example",
+            )
+        )
+
+    for number in range(calls):
+        world.later(
+            number * 1000 * SECONDS / calls, lambda number=number: call(number)
+        )
+    world.run(SECONDS * 1_000 + 3_000)
+    whole = sum(
+        row.answer.status == 200 for rows in told.values() for row in rows
+    )
+    served = {}
+    for kind, rows in told.items():
+        since_ms = rows[0].started_at_ms + CONVERGED_MS
+        later = [row for row in rows if row.started_at_ms > since_ms]
+        good = sum(row.answer.status == 200 for row in later)
+        served[kind] = good / len(later)
+    return whole / (SECONDS * capacity_per_s), served
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_surge_on_a_deep_service_costs_no_begun_work(seed, monkeypatch):
+    goodput, served = _goodput(seed, 1.8, monkeypatch)
+    assert goodput >= 0.75
+    assert served["urgent"] >= 2 * served["other"] * 0.9
+    assert served["urgent"] > 0.75
+
+
+def test_without_the_door_the_same_surge_ruins_most_chains(monkeypatch):
+    without_door, _ = _goodput(0, 1.8, monkeypatch, with_door=False)
+    monkeypatch.undo()
+    with_door, _ = _goodput(0, 1.8, monkeypatch)
+    assert with_door > 1.3 * without_door
+
+
+def test_refusal_at_the_door_has_not_run_and_says_when_to_return():
+    world = setups.routed(routes=[("a", {})])
+    node = world.nodes["orders-zone-a"]
+    row = models.DoorRow(1.0, "orders", world.now_ms)
+    node.tables.pressure.doors["orders"] = row
+    told = []
+    for _ in range(20):
+        row.share, row.told_at_ms = 1.0, world.now_ms
+        told.append(
+            world.call("orders-zone-a", "/a/x", KEY, host="fleet.example")
+        )
+        world.run(20)
+    number = str(codes.TURNED_AWAY.number)
+    refused = [row for row in told if row.header("fescueyard-code") == number]
+    assert len(refused) >= 10
+    assert all(row.header("fescueyard-outcome") == "not_run" for row in refused)
+    assert all(int(row.header("retry-after")) >= 1 for row in refused)
+    assert all(row.ended_at_ms == row.started_at_ms for row in refused)
--- /dev/null
+++ b/tests/pressure/test_source.py
@@ -0,0 +1,42 @@
+"""The pressure of a backend server follows the wait in its queue."""
+
+from fescueyard.pressure import models
+from fescueyard.pressure import source
+
+
+def _rounds(row, count, waited_ms, arrived, started, now_ms=0.0):
+    for _ in range(count):
+        now_ms += source.ADJUST_MS
+        row.arrived, row.started = arrived, started
+        row.waited_ms = waited_ms * started
+        source.adjust(row, waited_ms, now_ms)
+    return now_ms
+
+
+def test_short_waits_are_no_pressure():
+    row = models.SourceRow()
+    _rounds(row, 50, source.WAIT_TARGET_MS, 10, 10)
+    assert source.own_pressure(row, "deep") is models.NONE
+
+
+def test_one_busy_moment_is_no_pressure():
+    row = models.SourceRow()
+    now_ms = _rounds(row, source.LATE_ROUNDS - 1, 200, 20, 10)
+    _rounds(row, 1, 0, 10, 10, now_ms)
+    assert source.own_pressure(row, "deep") is models.NONE
+
+
+def test_twice_the_load_is_seen_within_a_second_and_forgotten_in_three():
+    row = models.SourceRow()
+    now_ms = _rounds(row, 10, 300, 20, 10)
+    told = source.own_pressure(row, "deep")
+    assert told.bottleneck == "deep"
+    assert told.share >= 0.5
+    _rounds(row, 50, 0, 10, 10, now_ms)
+    assert source.own_pressure(row, "deep") is models.NONE
+
+
+def test_some_load_always_passes():
+    row = models.SourceRow()
+    _rounds(row, 1_000, 5_000, 100, 0)
+    assert source.own_pressure(row, "deep").share <= 1 - source.KEPT_MIN
--- a/tests/world.py
+++ b/tests/world.py
@@ -65,6 +65,7 @@
     ended_at_ms: float | None = None
     cancelled: bool = False
     has_slot: bool = False
+    exchange_id: int = 0
 
 
 class Stream:
@@ -280,6 +281,20 @@
 
     # Nodes.
 
+    def _cancel_call(self, node, run):
+        """Have a run that was broken off drop the call it waits for."""
+        if run.exchange_id in self.calls:
+            del self.calls[run.exchange_id]
+            self._schedule(
+                0.1,
+                lambda: self._at(
+                    node,
+                    lambda: ingress.caller_left(
+                        node.tables, run.exchange_id, self.now_ms
+                    ),
+                ),
+            )
+
     def _submit(self, node, request, from_backend, done):
         exchange_id = next(self._exchange_ids)
         self.calls[exchange_id] = (node, done)
@@ -291,6 +306,7 @@
             self._settle(node)
 
         self._at(node, accept)
+        return exchange_id
 
     def _at(self, node, action):
         if self.nodes.get(node.name) is not node:
@@ -341,6 +357,7 @@
                 run.cancelled = True
                 if run.has_slot:
                     self._free_slot(node)
+                self._cancel_call(node, run)
         elif isinstance(effect, effects.DropStream):
             stream = self._streams.get((node.name, effect.address))
             if stream is not None:
@@ -405,7 +422,10 @@
             if split.query:
                 target += "?" + split.query
             self._schedule(
-                delay_ms, lambda: self._call_on(node, run_id, run, target)
+                delay_ms,
+                lambda: self._call_on(
+                    node, run_id, run, target, int(query.get("times", "1"))
+                ),
             )
             return
         status = int(query.get("status", "200"))
@@ -414,13 +434,13 @@
             delay_ms, lambda: self._finish_run(node, run_id, run, answer)
         )
 
-    def _call_on(self, node, run_id, run, target):
+    def _call_on(self, node, run_id, run, target, times=1):
         if run.cancelled or self.nodes.get(node.name) is not node:
             return
         headers = [
             row
             for row in run.request.headers
-            if row.name in ("fescueyard-token", "idempotency-key")
+            if row.name in ("fescueyard-token", "idempotency-key", "host")
         ]
         onward = http.HttpRequest(run.request.method, target, headers, b"")
 
@@ -429,7 +449,10 @@
         def done(answer, at_ms):
             if answer.status >= 500 and tries_left[0] > 0:
                 tries_left[0] -= 1
-                self._submit(node, onward, True, done)
+                run.exchange_id = self._submit(node, onward, True, done)
+                return
+            if answer.status < 400 and times > 1:
+                self._call_on(node, run_id, run, target, times - 1)
                 return
             self._finish_run(
                 node,
@@ -438,7 +461,7 @@
                 http.HttpAnswer(answer.status, [], answer.body),
             )
 
-        self._submit(node, onward, True, done)
+        run.exchange_id = self._submit(node, onward, True, done)
 
     def _finish_run(self, node, run_id, run, answer):
         if run.cancelled or node.runs.get(run_id) is not run:
