--- a/fescueyard/admission/announcements.py
+++ b/fescueyard/admission/announcements.py
@@ -1,8 +1,9 @@
 """What backend servers say of themselves, in the order in which they said it.
 
-Announcements may come late: from a process that has ended, after its successor
-announced itself at the same address, or out of order. Each carries the start of
-its process and a number; what is older than the latest one changes nothing.
+Announcements may come late: from a process that has ended, after its
+successor announced itself at the same address, or out of order. Each carries
+the start of its process and a number; what is older than the latest one
+changes nothing.
 """
 
 import dataclasses
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -63,9 +63,7 @@
     """Event: time to see whether the backend server still renews."""
 
 
-def announce(
-    tables, service, address, slots, ttl_ms, now_ms, fresh=False
-):
+def announce(tables, service, address, slots, ttl_ms, now_ms, fresh=False):
     """Take in the announcement of the backend server, or its renewal.
 
     :param tables: the node's tables.
--- a/fescueyard/control/repair.py
+++ b/fescueyard/control/repair.py
@@ -95,7 +95,10 @@
 
 
 def _may_spare(agreement, member, now_ms):
-    """Say whether a voter may go: a successor waits, and a majority answers."""
+    """Say whether a voter may go.
+
+    A successor has to wait, and a majority of the others has to answer.
+    """
     answering = 1
     remaining = 1
     successor = False
--- a/fescueyard/management/commands/trace.py
+++ b/fescueyard/management/commands/trace.py
@@ -114,11 +114,5 @@
     if match is None:
         return None
     event, _, rest = match["event"].partition(" ")
-    fields = {
-        name: value.strip("'") for name, value in _FIELD.findall(rest)
-    }
-    return Line(
-        process, float(match["at_s"]), match.group(0), event, fields
-    )
-
-
+    fields = {name: value.strip("'") for name, value in _FIELD.findall(rest)}
+    return Line(process, float(match["at_s"]), match.group(0), event, fields)
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -449,7 +449,6 @@
         )
         self._settle(now_ms)
 
-
     def _find_backend(self):
         """Ask the backend server for its id, until it is known."""
         address = self.settings.server_address
--- a/fescueyard/platform/configurations.py
+++ b/fescueyard/platform/configurations.py
@@ -1,4 +1,4 @@
-"""The operators' configuration as a whole document of the project's objects."""
+"""The operators' configuration as a document of the project's objects."""
 
 import dataclasses
 import hashlib
@@ -131,9 +131,7 @@
     ]
     if found.Limits is not None:
         rows.append(
-            _row(
-                models.Kind.LISTENER, models.CALLERS, _listener(found.Limits)
-            )
+            _row(models.Kind.LISTENER, models.CALLERS, _listener(found.Limits))
         )
     for each in found.Services:
         service = models.Service(
@@ -214,9 +212,7 @@
     for key in each.ApiKeys:
         sha256 = hashlib.sha256(key.encode()).hexdigest()
         name = f"k-{sha256[:_KEY_NAME_DIGITS]}"
-        rows.append(
-            _row(models.Kind.KEY, name, models.Key(each.Name, sha256))
-        )
+        rows.append(_row(models.Kind.KEY, name, models.Key(each.Name, sha256)))
     return rows
 
 
--- a/fescueyard/platform/interface.py
+++ b/fescueyard/platform/interface.py
@@ -50,7 +50,9 @@
     found = [http.Header("content-type", "text/plain")]
     if status in (429, _COME_BACK_STATUS) and retry_after_ms is not None:
         # Callers here read fractions of a second.
-        found.append(http.Header("retry-after", f"{retry_after_ms / 1000:.3f}"))
+        found.append(
+            http.Header("retry-after", f"{retry_after_ms / 1000:.3f}")
+        )
     body = f"{code.number} {code.name}: {detail or code.title}\n"
     return http.HttpAnswer(status, found, body.encode())
 
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -59,9 +59,7 @@
 class _NetworkTable:
     __pydantic_config__ = _OPEN
 
-    InternalPorts: typing.Annotated[
-        list[int], pydantic.Field(min_length=1)
-    ]
+    InternalPorts: typing.Annotated[list[int], pydantic.Field(min_length=1)]
     # Addresses of the operators' API, not of the streams.
     Seeds: list[str]
     Listen: _ListenTable
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -259,9 +259,7 @@
             name, _, value = part.strip().partition("=")
             if name.lower() == "timeout" and value.isdigit():
                 timeout_s = float(value)
-                self.idle_max_s = max(
-                    timeout_s / 2, timeout_s - IDLE_MARGIN_S
-                )
+                self.idle_max_s = max(timeout_s / 2, timeout_s - IDLE_MARGIN_S)
 
 
 class BackendClient:
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -36,6 +36,7 @@
         default_factory=lambda: REQUEST_TIMEOUT_S
     )
 
+
 _SEQUENCE = itertools.count(1)
 _REASONS = {status.value: status.phrase for status in http.HTTPStatus}
 
--- a/tests/control/test_repair.py
+++ b/tests/control/test_repair.py
@@ -6,9 +6,7 @@
 from fescueyard.control import tables as control_tables
 from tests.control import harness
 
-POLICY = control_tables.ControlPolicy(
-    repairs_members=True, keeps_claims=False
-)
+POLICY = control_tables.ControlPolicy(repairs_members=True, keeps_claims=False)
 REPAIR_MS = 4_000
 
 
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -51,9 +51,7 @@
 
 
 def test_fields_are_decoded_once():
-    status, told = _send(
-        "PUT", "/v1/instances/i-1", json.dumps(BEAT).encode()
-    )
+    status, told = _send("PUT", "/v1/instances/i-1", json.dumps(BEAT).encode())
     assert status == 200
     assert told[0].instance == "i-1"
     assert told[0].service == "orders"
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -7,9 +7,9 @@
 
 from fescueyard.configuration import models
 from fescueyard.configuration import state
+from fescueyard.control import admin
 from fescueyard.core import exceptions
 from fescueyard.core import http
-from fescueyard.control import admin
 from fescueyard.platform import configurations
 from fescueyard.platform import operators
 
--- a/tests/pressure/test_door.py
+++ b/tests/pressure/test_door.py
@@ -106,9 +106,7 @@
         retry_budget_slack=20.0,
         concurrency_share_min=1.0,
     )
-    setups.put_route(
-        world, "deep", "deep", public=True, timeout_ms=700.0
-    )
+    setups.put_route(world, "deep", "deep", public=True, timeout_ms=700.0)
     for node in world.nodes.values():
         if node.backend.service == "deep":
             node.backend.slots = DEEP_SLOTS
@@ -180,6 +178,8 @@
     number = str(codes.TURNED_AWAY.number)
     refused = [row for row in told if row.header("fescueyard-code") == number]
     assert len(refused) >= 10
-    assert all(row.header("fescueyard-outcome") == "not_run" for row in refused)
+    assert all(
+        row.header("fescueyard-outcome") == "not_run" for row in refused
+    )
     assert all(int(row.header("retry-after")) >= 1 for row in refused)
     assert all(row.ended_at_ms == row.started_at_ms for row in refused)
--- a/tests/retries/test_budget.py
+++ b/tests/retries/test_budget.py
@@ -12,7 +12,6 @@
 CALLS_PER_S = 60
 
 
-
 @pytest.mark.parametrize("seed", range(4))
 def test_repeats_of_a_failing_service_stay_within_the_budget(seed):
     world = setups.routed(
