Dial nodes out of reach with no request at stake; aged load is the usual one

Change: reported load moves towards the service's usual use; a node out of reach is dialled every 0.5 s and taken again when the stream is up; unacked data closes a connection after 1 s.

--- a/benchmarks/policy.py
+++ b/benchmarks/policy.py
@@ -345,7 +345,7 @@
     def patch(module, attribute, function):
         patches.append(unittest.mock.patch.object(module, attribute, function))
 
-    def first_come(table, may_run):
+    def first_come(table, may_run, overloaded=False):
         queued = [row for row in table.rows.values() if row.queued]
         return min(queued, key=lambda row: row.run_id, default=None)
 
--- a/fescueyard/core/effects.py
+++ b/fescueyard/core/effects.py
@@ -97,3 +97,13 @@
     """
 
     address: str
+
+
+@dataclasses.dataclass(slots=True)
+class Dial:
+    """Have a stream to a process, without a message to send.
+
+    :param address: ``host:port`` of the process.
+    """
+
+    address: str
--- a/fescueyard/management/commands/ctl.py
+++ b/fescueyard/management/commands/ctl.py
@@ -73,6 +73,22 @@
             flags,
         )
 
+    def apply(self, document, **flags):
+        """Put a whole document in place of the present configuration.
+
+        :param document: JSON with ``number``, ``base_number`` and
+            ``objects``, or ``@path`` of a file that holds it.
+        """
+        _show(
+            _client(flags).change(
+                "PUT", "/v1/document", _document(document), 0
+            )
+        )
+
+    def document(self, **flags):
+        """Show the whole document in force, as it was sent."""
+        _show(_client(flags).read("/v1/document"))
+
     def grant_key(self, customer, key_id="", **flags):
         """Make a key for a customer and print it, this once only.
 
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -27,6 +27,7 @@
 from fescueyard.node import metrics
 from fescueyard.node import systems
 from fescueyard.node import tables as node_tables
+from fescueyard.routing import choice
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 from fescueyard.transport import backend_client
@@ -116,6 +117,7 @@
         )
         tables = self._tables
         tables.routed = settings.caller_interface == "routes"
+        tables.members.keeps_use = tables.routed
         tables.interface = interface or ingress_interface.Interface()
         tables.service = settings.service
         tables.leave_notice_ms = settings.leave_notice_ms
@@ -316,6 +318,7 @@
         membership.note_peer(
             self._tables, str(address), peer_id, clock.now_ms()
         )
+        choice.note_reachable(self._tables, peer_id)
 
     def stream_lost(self, stream):
         """End what depended on a stream."""
@@ -513,6 +516,11 @@
     node._datagrams.send(effect.address, effect.message)
 
 
+@_carry_out.register
+def _dial(effect: effects.Dial, node):
+    node._pool.dial(streams.parse_address(effect.address))
+
+
 @_carry_out.register
 def _drop_stream(effect: effects.DropStream, node):
     node._pool.abort(streams.parse_address(effect.address))
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -13,6 +13,7 @@
 from fescueyard.ingress import systems as ingress
 from fescueyard.limits import systems as limits
 from fescueyard.once import replica
+from fescueyard.routing import choice
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 
@@ -38,6 +39,7 @@
     limits.tick(tables, now_ms)
     if tables.routed:
         admission.tick(tables, now_ms)
+        choice.tick(tables, now_ms)
     replica.tick(tables, now_ms)
     _pull(tables, now_ms)
     handle_events(tables, now_ms)
--- a/fescueyard/routing/choice.py
+++ b/fescueyard/routing/choice.py
@@ -5,15 +5,21 @@
 under way. The zone of the node goes first unless it is the more loaded.
 """
 
+from fescueyard.core import effects
 from fescueyard.routing import models
 
 LOAD_HALF_LIFE_MS = 200
+# How fast the share of slots in use at one backend server moves away from
+# what it last reported.
+USE_HALF_LIFE_MS = 500
+USE_WEIGHT = 0.1
 OTHER_ZONE_PENALTY = 0.25
 FAILURES_BEFORE_EJECTION = 5
 EJECTION_MS = 1_000
 EJECTION_MAX_MS = 30_000
 REFUSING_MS = 2_000
-UNREACHABLE_MS = 1_000
+UNREACHABLE_MS = 10_000
+REDIAL_MS = 500
 EJECTED_SHARE_MAX = 0.34
 
 
@@ -112,6 +118,33 @@
     target = tables.members.targets.get(node_id)
     if target is not None:
         target.unreachable_until_ms = now_ms + UNREACHABLE_MS
+        target.redial_due_ms = now_ms + REDIAL_MS
+
+
+def note_reachable(tables, node_id):
+    """Take in that a stream to a node is up.
+
+    :param tables: the node's tables.
+    :param node_id: the node.
+    """
+    target = tables.members.targets.get(node_id)
+    if target is not None:
+        target.unreachable_until_ms = float("-inf")
+
+
+def tick(tables, now_ms):
+    """Dial the nodes that were out of reach, with no request at stake.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    table = tables.members
+    for node_id, target in table.targets.items():
+        if target.unreachable_until_ms > now_ms >= target.redial_due_ms:
+            target.redial_due_ms = now_ms + REDIAL_MS
+            member = table.rows.get(node_id)
+            if member is not None:
+                tables.effects.append(effects.Dial(member.address))
 
 
 def has_untried(tables, service, tried, now_ms):
@@ -140,6 +173,11 @@
     :param now_ms: the present time.
     """
     target = tables.members.targets.get(node_id)
+    member = tables.members.rows.get(node_id)
+    if member is not None and limit:
+        use = tables.members.use_of_service
+        known = use.get(member.service, load / limit)
+        use[member.service] = known + USE_WEIGHT * (load / limit - known)
     if target is not None:
         target.reported_load = load
         target.limit = limit
@@ -187,11 +225,20 @@
     target = table.targets.get(member.node_id)
     if target is None:
         return 0.0
-    age_ms = now_ms - target.reported_at_ms
-    aged = target.reported_load * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
-    load = max(aged, target.outstanding)
     capacity = max(1, target.limit or member.slots)
+    load = max(_aged_load(table, member, target, now_ms), target.outstanding)
     warm_for_ms = now_ms - target.seen_at_ms
     if warm_for_ms < slow_start_ms:
         capacity *= max(0.1, warm_for_ms / slow_start_ms)
     return (load + 1) / capacity
+
+
+def _aged_load(table, member, target, now_ms):
+    """Load as last reported, moving towards the service's usual use."""
+    age_ms = now_ms - target.reported_at_ms
+    if not table.keeps_use:
+        return target.reported_load * 0.5 ** (age_ms / LOAD_HALF_LIFE_MS)
+    capacity = max(1, target.limit or member.slots)
+    usual = table.use_of_service.get(member.service, 0.0) * capacity
+    weight = 0.5 ** (age_ms / USE_HALF_LIFE_MS)
+    return usual + weight * (target.reported_load - usual)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -53,6 +53,7 @@
     :param ejected_until_ms: it is passed over until then.
     :param refusing_until_ms: it said that it takes no new work.
     :param unreachable_until_ms: no stream to it came up or stayed up.
+    :param redial_due_ms: when it is dialled next while out of reach.
     :param ejections: how often it was ejected without success between.
     """
 
@@ -66,6 +67,7 @@
     ejections: int = 0
     refusing_until_ms: float = float("-inf")
     unreachable_until_ms: float = float("-inf")
+    redial_due_ms: float = 0.0
 
 
 @dataclasses.dataclass
@@ -81,6 +83,9 @@
     :param digest: of all rows, kept up to date with each change.
     :param targets: rows of :class:`TargetRow` by node id.
     :param version: grows with each change of a row.
+    :param use_of_service: share of the slots in use of late, by service.
+    :param keeps_use: a load that was reported a while ago is taken for the
+        service's usual use, and not for none.
     :param nodes_alive: nodes not known to be gone, this one included.
     :param nodes_seen_max: most nodes, this one included, ever seen alive at
         once; what is shared out among nodes counts on it through a cut.
@@ -102,6 +107,8 @@
     )
     probe_order: list[str] = dataclasses.field(default_factory=list)
     version: int = 0
+    use_of_service: dict[str, float] = dataclasses.field(default_factory=dict)
+    keeps_use: bool = False
     nodes_alive: int = 0
     nodes_seen_max: int = 1
     digest: int = 0
--- a/fescueyard/transport/sockets.py
+++ b/fescueyard/transport/sockets.py
@@ -3,7 +3,7 @@
 import socket
 
 # Data that stays unacknowledged for so long closes the connection.
-USER_TIMEOUT_MS = 1_500
+USER_TIMEOUT_MS = 1_000
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -285,6 +285,7 @@
         self._waiting = {}
         self._open = set()
         self._tasks = set()
+        self._closing = False
 
     async def listen(self, address):
         """Accept streams.
@@ -307,13 +308,25 @@
         if stream is not None and stream.ready:
             stream.send(message)
             return
+        dialling = address in self._waiting
         waiting = self._waiting.setdefault(address, [])
         waiting.append((clock.now_ms(), message))
-        if len(waiting) == 1:
+        if not dialling:
             self._start_dialling(address)
 
+    def dial(self, address):
+        """Dial a peer unless there is a stream or a dial already.
+
+        :param address: the peer's :class:`Address`.
+        """
+        if address in self._dialled or address in self._waiting:
+            return
+        self._waiting[address] = []
+        self._start_dialling(address)
+
     def close(self):
         """Close every stream."""
+        self._closing = True
         for stream in list(self._open):
             stream.close()
 
@@ -346,10 +359,11 @@
     def stream_lost(self, stream):
         """Forget a stream and report what could not be sent."""
         self._open.discard(stream)
-        if stream.address is not None:
+        if stream.address is not None and not self._closing:
             LOG.info(
                 "stream_lost", peer=stream.peer_id, address=str(stream.address)
             )
+        if stream.address is not None:
             if self._dialled.get(stream.address) is stream:
                 del self._dialled[stream.address]
             self._report_unsent(stream.address)
--- a/tests/management/test_docs.py
+++ b/tests/management/test_docs.py
@@ -1,10 +1,13 @@
 """The reference pages are what the commands print."""
 
 import pathlib
+import re
 
 from fescueyard.core import codes
 from fescueyard.management.commands import codes as codes_command
 from fescueyard.management.commands import settings_table
+from fescueyard.node import exposition
+from tests import setups
 
 REFERENCE = pathlib.Path(__file__).parents[2] / "docs" / "ref"
 
@@ -21,3 +24,37 @@
 def test_result_code_that_invites_a_retry_is_no_success():
     for code in codes.all_codes():
         assert not (code.retryable and code.http_status < 400), code
+
+
+def _logged_events():
+    """Find the events that the sources log, but for whole sentences."""
+    source = pathlib.Path(__file__).parents[2] / "fescueyard"
+    found = set()
+    for path in source.rglob("*.py"):
+        text = path.read_text()
+        found.update(
+            re.findall(
+                r"LOG\.(?:decision|info|warning|error)\(\s*\"([a-z_]+)\"",
+                text,
+            )
+        )
+    return found
+
+
+def test_page_of_log_events_names_each_event():
+    page = (REFERENCE / "log-events.md").read_text()
+    named = set(re.findall(r"`([a-z_]+)`", page))
+    assert _logged_events() - named == set()
+    assert named - _logged_events() == {"suppressed"}
+
+
+def test_page_of_metrics_names_each_metric():
+    world = setups.small(zones=("zone-a",))
+    world.call("orders-zone-a-0", "/orders/work", setups.KEYS["board"])
+    world.run(100)
+    node = next(iter(world.nodes.values()))
+    text = exposition.render(node.tables, world.now_ms)
+    served = {re.match(r"[a-z_]+", line)[0] for line in text.splitlines()}
+    page = (REFERENCE / "metrics.md").read_text()
+    named = set(re.findall(r"`(fescueyard_[a-z_]+)", page))
+    assert served == named
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,53 @@
+"""Placement: the own zone first, dead ways passed over, aged load."""
+
+from fescueyard.routing import choice
+from tests import setups
+
+KEY = setups.KEYS["board"]
+
+
+def _call(world, node, path="/a/x"):
+    return world.call(node, path, KEY, host="fleet.example")
+
+
+def test_load_reported_a_while_ago_is_not_taken_for_none():
+    """An idle own zone keeps its work though others seem to do nothing."""
+    world = setups.routed(routes=[("a", {})], slots=20)
+    members = world.nodes["orders-zone-b"].tables.members
+    for node_id in members.by_service["orders"]:
+        choice.note_load(
+            world.nodes["orders-zone-b"].tables, node_id, 10, 20, 0.0
+        )
+        members.targets[node_id].reported_at_ms = world.now_ms - 5_000
+    members.targets["orders-zone-b"].reported_at_ms = world.now_ms
+    chosen = {
+        choice.choose(
+            world.nodes["orders-zone-b"].tables,
+            "orders",
+            set(),
+            0,
+            world.now_ms,
+        ).node_id
+        for _ in range(50)
+    }
+    assert chosen == {"orders-zone-b"}
+
+
+def test_zone_out_of_reach_gets_no_request_until_a_stream_is_up():
+    world = setups.routed(
+        routes=[("a", {"idempotent": False, "timeout_ms": 3_000.0})],
+        zones=setups.ZONES[:2],
+    )
+    world.nodes["orders-zone-a"].backend.up = False
+    tables = world.nodes["orders-zone-a"].tables
+    world.cut_zone("zone-b")
+    choice.note_unreachable(tables, "orders-zone-b", world.now_ms)
+    told = _call(world, "orders-zone-a")
+    world.run(3 * choice.REDIAL_MS)
+    assert told.answer.status == 503
+    assert told.ended_at_ms - told.started_at_ms < 50
+    world.heal()
+    world.run(2 * choice.REDIAL_MS)
+    back = _call(world, "orders-zone-a")
+    world.run(100)
+    assert back.answer.status == 200
--- a/tests/world.py
+++ b/tests/world.py
@@ -24,6 +24,7 @@
 from fescueyard.ingress import systems as ingress
 from fescueyard.node import systems as node_systems
 from fescueyard.node import tables as node_tables
+from fescueyard.routing import choice
 from fescueyard.routing import models as routing_models
 from tests.control import harness
 
@@ -187,6 +188,7 @@
             routing_models.NODE_ROLE,
         )
         tables.routed = routed
+        tables.members.keeps_use = routed
         tables.service = service if routed else ""
         backend = Backend(service, slots, service_ms) if service else None
         node = Node(name, tables, backend)
@@ -349,6 +351,8 @@
             _, done = self.calls.pop(effect.exchange_id, (None, None))
             if done is not None:
                 done(effect.answer, self.now_ms)
+        elif isinstance(effect, effects.Dial):
+            self._dial(node, effect.address)
         elif isinstance(effect, effects.StartRun):
             self._start_run(node, effect)
         elif isinstance(effect, effects.AbortRun):
@@ -535,6 +539,11 @@
             stream = self._connect(source, target, address)
         self._transmit(stream, message)
 
+    def _dial(self, node, address):
+        target = address.partition(":")[0]
+        if self._is_up(target) and not self._is_cut(node.name, target):
+            choice.note_reachable(node.tables, target)
+
     def _connect(self, source, target, address):
         stream = Stream(source, target, address)
         stream.peer = Stream(target, source, None)
