Ask for configuration and members more often after a start; split two large modules

Change: every 0.1 s until the first configuration; members every 0.5 s in the first 5 s of a process.

--- /dev/null
+++ b/fescueyard/admission/run_headers.py
@@ -0,0 +1,45 @@
+"""Headers that the system adds to a request for the backend server."""
+
+from fescueyard.core import http
+
+TOKEN_HEADER = "fescueyard-token"
+DEADLINE_HEADER = "fescueyard-deadline-ms"
+PRIORITY_HEADER = "fescueyard-priority"
+CUSTOMER_HEADER = "fescueyard-customer"
+
+
+def own_headers(tables, row, now_ms):
+    """Make the headers that the system adds to a run.
+
+    :param tables: the node's tables.
+    :param row: :class:`~fescueyard.admission.models.RunRow`.
+    :param now_ms: the present time.
+    :returns: list of :class:`~fescueyard.core.http.Header`.
+    """
+    left_ms = max(0, int(row.deadline_at_ms - now_ms))
+    if tables.routed:
+        return _routed_headers(tables, row, left_ms)
+    headers = [
+        http.Header(TOKEN_HEADER, row.token),
+        http.Header(DEADLINE_HEADER, str(left_ms)),
+        http.Header(PRIORITY_HEADER, str(row.forward.priority)),
+    ]
+    if row.forward.customer:
+        headers.append(http.Header(CUSTOMER_HEADER, row.forward.customer))
+    return headers
+
+
+def _routed_headers(tables, row, left_ms):
+    names = tables.interface.names
+    forward = row.forward
+    headers = [http.Header(names.deadline_ms, str(left_ms))]
+    if forward.customer:
+        headers.append(http.Header(names.customer, forward.customer))
+    if forward.caller_service:
+        headers.append(
+            http.Header(names.caller_service, forward.caller_service)
+        )
+    instance = tables.runs.backend.instance
+    if instance:
+        headers.append(http.Header(names.expected_instance, instance))
+    return headers
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -13,6 +13,7 @@
 from fescueyard.admission import messages
 from fescueyard.admission import models
 from fescueyard.admission import queueing
+from fescueyard.admission import run_headers
 from fescueyard.configuration import models as configuration_models
 from fescueyard.core import codes
 from fescueyard.core import dispatch
@@ -38,11 +39,6 @@
 # A run is started while at least half of its usual time is left.
 TOO_LATE_SHARE = 0.5
 
-TOKEN_HEADER = "fescueyard-token"
-DEADLINE_HEADER = "fescueyard-deadline-ms"
-PRIORITY_HEADER = "fescueyard-priority"
-CUSTOMER_HEADER = "fescueyard-customer"
-
 
 @dataclasses.dataclass(slots=True)
 class LocalAnswer:
@@ -519,7 +515,7 @@
     request = http.HttpRequest(
         forward.request.method,
         forward.request.target,
-        forward.request.headers + _own_headers(tables, row, now_ms),
+        forward.request.headers + run_headers.own_headers(tables, row, now_ms),
         forward.request.body,
     )
     LOG.decision(
@@ -540,36 +536,6 @@
     )
 
 
-def _own_headers(tables, row, now_ms):
-    left_ms = max(0, int(row.deadline_at_ms - now_ms))
-    if tables.routed:
-        return _routed_headers(tables, row, left_ms)
-    headers = [
-        http.Header(TOKEN_HEADER, row.token),
-        http.Header(DEADLINE_HEADER, str(left_ms)),
-        http.Header(PRIORITY_HEADER, str(row.forward.priority)),
-    ]
-    if row.forward.customer:
-        headers.append(http.Header(CUSTOMER_HEADER, row.forward.customer))
-    return headers
-
-
-def _routed_headers(tables, row, left_ms):
-    names = tables.interface.names
-    forward = row.forward
-    headers = [http.Header(names.deadline_ms, str(left_ms))]
-    if forward.customer:
-        headers.append(http.Header(names.customer, forward.customer))
-    if forward.caller_service:
-        headers.append(
-            http.Header(names.caller_service, forward.caller_service)
-        )
-    instance = tables.runs.backend.instance
-    if instance:
-        headers.append(http.Header(names.expected_instance, instance))
-    return headers
-
-
 def _abort(tables, row, code, now_ms):
     tables.effects.append(effects.AbortRun(row.run_id))
     _note_end(tables, row, now_ms)
--- a/fescueyard/ingress/parsing.py
+++ b/fescueyard/ingress/parsing.py
@@ -3,6 +3,7 @@
 import dataclasses
 import hashlib
 
+from fescueyard.admission import run_headers
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import models as configuration_models
 from fescueyard.core import codes
@@ -41,7 +42,7 @@
     """
     name, target = _split_target(request.target)
     service, profile = _find_service(tables, name)
-    token = request.header(admission.TOKEN_HEADER) if from_backend else None
+    token = request.header(run_headers.TOKEN_HEADER) if from_backend else None
     if token:
         context = _inherit(tables, token, request, profile, now_ms)
     else:
@@ -94,11 +95,11 @@
     path = target.partition("?")[0]
     identity = keys.identify(tables, service, request, path, now_ms)
     deadline_ms = number(
-        request, admission.DEADLINE_HEADER, profile.deadline_default_ms
+        request, run_headers.DEADLINE_HEADER, profile.deadline_default_ms
     )
     deadline_ms = min(deadline_ms, profile.deadline_max_ms)
     priority = number(
-        request, admission.PRIORITY_HEADER, profile.priority_default
+        request, run_headers.PRIORITY_HEADER, profile.priority_default
     )
     priority = max(min(priority, 7), profile.priority_ceiling)
     chain_id = f"{tables.secure_random.getrandbits(96):x}"
@@ -120,8 +121,8 @@
     if depth > profile.depth_max:
         raise exceptions.RequestError("", codes.TOO_DEEP)
     left_ms = run.deadline_at_ms - now_ms
-    deadline_ms = number(request, admission.DEADLINE_HEADER, left_ms)
-    priority = number(request, admission.PRIORITY_HEADER, forward.priority)
+    deadline_ms = number(request, run_headers.DEADLINE_HEADER, left_ms)
+    priority = number(request, run_headers.PRIORITY_HEADER, forward.priority)
     return _Context(
         keys.Identity(forward.customer, forward.key_id),
         max(min(priority, 7), forward.priority, profile.priority_ceiling),
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -16,6 +16,7 @@
 from fescueyard.core import logs
 from fescueyard.core import problems
 from fescueyard.core import timers
+from fescueyard.ingress import again
 from fescueyard.ingress import models
 from fescueyard.ingress import parsing
 from fescueyard.ingress import routed
@@ -36,48 +37,10 @@
 FAILED_STATUS = 500
 # A run that ends just now still gets its answer to a waiting caller.
 ANSWER_GRACE_MS = 120
-# Refusals of nodes on the way, which no backend server saw, are followed by
-# another node so often at most.
-REROUTES_MAX = 3
 RETRY_AFTER_SPREAD = 1.0
 TURNED_AWAY_MIN_MS = 300
 TURNED_AWAY_MS = 1_500
 
-# Failures that say something about the backend server or its node.
-_NODE_FAILURES = frozenset(
-    {
-        codes.CONNECT_FAILED,
-        codes.PEER_UNREACHABLE,
-        codes.PEER_LOST,
-        codes.BACKEND_FAILED,
-        codes.SHORT_ANSWER,
-    }
-)
-_STREAM_FAILURES = frozenset({codes.PEER_UNREACHABLE, codes.PEER_LOST})
-# Ends of attempts whose requests a backend server may have seen.
-_REACHED_SERVER = frozenset(
-    {
-        codes.BACKEND_REFUSED,
-        codes.WRONG_INSTANCE,
-        codes.PEER_LOST,
-        codes.BACKEND_FAILED,
-        codes.SHORT_ANSWER,
-        codes.DEADLINE_EXCEEDED,
-    }
-)
-# Answers of a backend server that another one may make up for.
-_FAILED_STATUSES = frozenset({500, 502, 503})
-# Refusals after which another backend server may take the request.
-_WORTH_ANOTHER_TRY = _NODE_FAILURES | {
-    codes.OVERLOADED,
-    codes.EVICTED,
-    codes.DEADLINE_UNREACHABLE,
-    codes.LEAVING,
-    codes.NO_BACKEND,
-    codes.BACKEND_REFUSED,
-    codes.WRONG_INSTANCE,
-}
-
 
 @dataclasses.dataclass(slots=True)
 class CallDeadline:
@@ -449,22 +412,24 @@
 def _end_attempt(tables, attempt, code, answer, retry_after_ms, now_ms):
     del tables.calls.attempts[attempt.attempt_id]
     choice.attempt_ended(
-        tables, attempt.node_id, code in _NODE_FAILURES, now_ms
+        tables, attempt.node_id, code in again.NODE_FAILURES, now_ms
     )
     call = tables.calls.rows[attempt.call_id]
     call.attempt = None
-    if tables.routed and code in _STREAM_FAILURES:
+    if tables.routed and code in again.STREAM_FAILURES:
         choice.note_unreachable(tables, attempt.node_id, now_ms)
-    if code in _REACHED_SERVER or answer is not None:
+    if code in again.REACHED_SERVER or answer is not None:
         call.reached += 1
     if tables.routed and answer is not None:
         budget.note_outcome(
             tables,
             call.service,
             tables.profile_of(call.service),
-            answer.status not in _FAILED_STATUSES,
+            answer.status not in again.FAILED_STATUSES,
         )
-    if answer is not None and _is_worth_another(tables, call, answer, now_ms):
+    if answer is not None and again.is_worth_another(
+        tables, call, answer, now_ms
+    ):
         call.failed = answer
         LOG.decision(
             "sent_again",
@@ -483,7 +448,7 @@
     call.last_retry_after_ms = retry_after_ms
     if code.outcome is codes.Outcome.MAY_HAVE_RUN:
         call.doubt_code = code.number
-    if not _may_try_again(tables, call, code, now_ms):
+    if not again.may_try_again(tables, call, code, now_ms):
         _finish_refused(tables, call, code, retry_after_ms, now_ms)
     elif call.attempts_max is not None:
         LOG.decision(
@@ -499,45 +464,6 @@
         retries.ask_retry(tables, call.call_id, call.chain, now_ms)
 
 
-def _is_worth_another(tables, call, answer, now_ms):
-    """Say whether another backend server may make up for a failure."""
-    if call.attempts_max is None or not call.idempotent:
-        return False
-    if answer.status not in _FAILED_STATUSES:
-        return False
-    profile = tables.profile_of(call.service)
-    if budget.is_failing(tables, call.service, profile):
-        return False
-    return _may_reach_another(tables, call, now_ms)
-
-
-def _may_reach_another(tables, call, now_ms):
-    """Say whether a request may go to one more backend server."""
-    if call.reached >= call.attempts_max or now_ms >= call.deadline_at_ms:
-        return False
-    if not choice.has_untried(tables, call.service, call.tried, now_ms):
-        return False
-    profile = tables.profile_of(call.service)
-    return budget.take(tables, call.service, profile)
-
-
-def _may_try_again(tables, call, code, now_ms):
-    profile = tables.profile_of(call.service)
-    if quarantine.is_quarantined(tables, call.fingerprint, profile, now_ms):
-        return False
-    if code not in _WORTH_ANOTHER_TRY or now_ms >= call.deadline_at_ms:
-        return False
-    if code.outcome is not codes.Outcome.NOT_RUN and not call.idempotent:
-        return False
-    if call.attempts_max is None:
-        return True
-    if code in _REACHED_SERVER:
-        return _may_reach_another(tables, call, now_ms)
-    if call.tries > REROUTES_MAX:
-        return False
-    return choice.has_untried(tables, call.service, call.tried, now_ms)
-
-
 def _give_up(tables, call, code_not_run, code_running, now_ms):
     """End a call before its answer; what was sent is cancelled."""
     attempt = call.attempt
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -24,6 +24,8 @@
 HAND_OVER_MAX_MS = 5_000
 PULL_INTERVAL_MS = 500
 PULL_SPREAD_MS = 200
+# A process without any configuration serves nothing.
+FIRST_PULL_INTERVAL_MS = 100
 PULL_PEER_EVERY = 3
 
 
@@ -207,6 +209,8 @@
         return
     spread_ms = PULL_SPREAD_MS * tables.random.random()
     pull.pull_due_ms = now_ms + PULL_INTERVAL_MS + spread_ms
+    if tables.routed and not tables.configuration.state.cluster_id:
+        pull.pull_due_ms = now_ms + FIRST_PULL_INTERVAL_MS
     silent_turns = pull.turn - pull.answered_turn
     pull.turn += 1
     address = _source(tables, silent_turns)
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -27,6 +27,8 @@
 NEWS_FACTOR = 3
 TABLE_INTERVAL_MS = 10_000
 TABLE_INTERVAL_ALONE_MS = 500
+# All may have started together; whoever is asked first knows little.
+YOUNG_MS = 5_000
 FORGET_MS = 600_000
 SWEEP_INTERVAL_MS = 200
 _STATUS_ORDER = {
@@ -70,6 +72,8 @@
     :param now_ms: the present time.
     """
     table = tables.members
+    if table.started_at_ms is None:
+        table.started_at_ms = now_ms
     if now_ms >= table.sweep_due_ms:
         table.sweep_due_ms = now_ms + SWEEP_INTERVAL_MS
         _sweep(tables, now_ms)
@@ -436,8 +440,9 @@
     table = tables.members
     others = alive_others(table)
     alone = not others
+    young = now_ms - (table.started_at_ms or 0.0) < YOUNG_MS
     table.table_due_ms = now_ms + (
-        TABLE_INTERVAL_ALONE_MS if alone else TABLE_INTERVAL_MS
+        TABLE_INTERVAL_ALONE_MS if alone or young else TABLE_INTERVAL_MS
     )
     addresses = [table.rows[node_id].address for node_id in others]
     use_seed = alone or tables.random.random() < 0.5
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -83,6 +83,7 @@
     :param digest: of all rows, kept up to date with each change.
     :param targets: rows of :class:`TargetRow` by node id.
     :param version: grows with each change of a row.
+    :param started_at_ms: time of the first tick; None before it.
     :param use_of_service: share of the slots in use of late, by service.
     :param keeps_use: a load that was reported a while ago is taken for the
         service's usual use, and not for none.
@@ -112,6 +113,7 @@
     nodes_alive: int = 0
     nodes_seen_max: int = 1
     digest: int = 0
+    started_at_ms: float | None = None
     last_probe_id: int = 0
     probe_due_ms: float = 0.0
     gossip_due_ms: float = 0.0
