--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -79,6 +79,18 @@
         CallDeadline(call.call_id),
     )
     retries.count_first_try(tables)
+    _log_accepted(tables, call, now_ms)
+    if call.parent_run_id is None and call.customer:
+        limits.request(tables, call.call_id, call.customer, now_ms)
+    elif _is_own_retry(tables, call):
+        call.stage = models.Stage.RETRY
+        call.last_code = codes.RETRIES_EXHAUSTED.number
+        retries.ask_retry(tables, call.call_id, call.chain, now_ms)
+    else:
+        _pass_door(tables, call, now_ms)
+
+
+def _log_accepted(tables, call, now_ms):
     LOG.decision(
         "accepted",
         request=call.request_id,
@@ -90,14 +102,6 @@
         timeout_ms=round(call.deadline_at_ms - now_ms),
         version=tables.configuration.state.version,
     )
-    if call.parent_run_id is None and call.customer:
-        limits.request(tables, call.call_id, call.customer, now_ms)
-    elif _is_own_retry(tables, call):
-        call.stage = models.Stage.RETRY
-        call.last_code = codes.RETRIES_EXHAUSTED.number
-        retries.ask_retry(tables, call.call_id, call.chain, now_ms)
-    else:
-        _pass_door(tables, call, now_ms)
 
 
 def _refuses_callers(tables, now_ms):
@@ -416,39 +420,10 @@
 
 
 def _end_attempt(tables, attempt, code, answer, retry_after_ms, now_ms):
-    del tables.calls.attempts[attempt.attempt_id]
-    choice.attempt_ended(
-        tables, attempt.node_id, code in again.NODE_FAILURES, now_ms
-    )
     call = tables.calls.rows[attempt.call_id]
-    call.attempt = None
-    if tables.routed and code in again.STREAM_FAILURES:
-        choice.note_unreachable(tables, attempt.node_id, now_ms)
-    if code in again.REACHED_SERVER or answer is not None:
-        call.reached += 1
-    if tables.routed and answer is not None:
-        budget.note_outcome(
-            tables,
-            call.service,
-            tables.profile_of(call.service),
-            answer.status not in again.FAILED_STATUSES,
-        )
-    if answer is not None and again.is_worth_another(
-        tables, call, answer, now_ms
-    ):
-        call.failed = answer
-        LOG.decision(
-            "sent_again",
-            request=call.request_id,
-            call=call.call_id,
-            status=answer.status,
-            reached=call.reached,
-        )
-        _attempt(tables, call, now_ms)
-        return
+    _note_attempt(tables, call, attempt, code, answer, now_ms)
     if answer is not None:
-        outer = _outer_answer(tables, answer, codes.OK)
-        _finish(tables, call, code, answer, outer, now_ms)
+        _take_server_answer(tables, call, code, answer, now_ms)
         return
     call.last_code = code.number
     call.last_retry_after_ms = retry_after_ms
@@ -457,19 +432,52 @@
     if not again.may_try_again(tables, call, code, now_ms):
         _finish_refused(tables, call, code, retry_after_ms, now_ms)
     elif call.attempts_max is not None:
-        LOG.decision(
-            "sent_again",
-            request=call.request_id,
-            call=call.call_id,
-            code=code.number,
-            reached=call.reached,
-        )
-        _attempt(tables, call, now_ms)
+        _send_again(tables, call, code.name, now_ms)
     else:
         call.stage = models.Stage.RETRY
         retries.ask_retry(tables, call.call_id, call.chain, now_ms)
 
 
+def _note_attempt(tables, call, attempt, code, answer, now_ms):
+    """Note what the end of an attempt says of its node and service."""
+    del tables.calls.attempts[attempt.attempt_id]
+    call.attempt = None
+    choice.attempt_ended(
+        tables, attempt.node_id, code in again.NODE_FAILURES, now_ms
+    )
+    if code in again.REACHED_SERVER or answer is not None:
+        call.reached += 1
+    if not tables.routed:
+        return
+    if code in again.STREAM_FAILURES:
+        choice.note_unreachable(tables, attempt.node_id, now_ms)
+    if answer is not None:
+        good = answer.status not in again.FAILED_STATUSES
+        profile = tables.profile_of(call.service)
+        budget.note_outcome(tables, call.service, profile, good)
+
+
+def _take_server_answer(tables, call, code, answer, now_ms):
+    """Hand a backend server's answer on, or try another one."""
+    if again.is_worth_another(tables, call, answer, now_ms):
+        call.failed = answer
+        _send_again(tables, call, f"status {answer.status}", now_ms)
+        return
+    outer = _outer_answer(tables, answer, codes.OK)
+    _finish(tables, call, code, answer, outer, now_ms)
+
+
+def _send_again(tables, call, reason, now_ms):
+    LOG.decision(
+        "sent_again",
+        request=call.request_id,
+        call=call.call_id,
+        reason=reason,
+        reached=call.reached,
+    )
+    _attempt(tables, call, now_ms)
+
+
 def _give_up(tables, call, code_not_run, code_running, now_ms):
     """End a call before its answer; what was sent is cancelled."""
     attempt = call.attempt
