--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -9,6 +9,7 @@
 from fescueyard.consensus import models as consensus_models
 from fescueyard.consensus import systems as consensus
 from fescueyard.control import admin
+from fescueyard.control import exposition
 from fescueyard.control import founding
 from fescueyard.control import storage as storages
 from fescueyard.control import systems
@@ -18,6 +19,7 @@
 from fescueyard.core import dumps
 from fescueyard.core import effects
 from fescueyard.core import exceptions
+from fescueyard.core import exposition as core_exposition
 from fescueyard.core import logs
 from fescueyard.core import operators
 from fescueyard.routing import membership
@@ -82,6 +84,9 @@
         self._datagrams = datagrams.DatagramSocket(secret, self)
         self._pool = streams.StreamPool(loaded.member_id, secret, self)
         self._admin = http_server.HttpServer(self, ADMIN_BODY_BYTES_MAX)
+        self._metrics = http_server.HttpServer(
+            http_server.AnswerEdge(self._metrics_answer), ADMIN_BODY_BYTES_MAX
+        )
         self._commands = {}
         self._connections = {}
         self._peer_streams = {}
@@ -98,6 +103,9 @@
         await self._admin.listen(
             streams.parse_address(self.settings.admin_address)
         )
+        await http_server.listen_for_metrics(
+            self._metrics, self.settings.metrics_address
+        )
         LOG.info(
             "Control started.",
             member=self._tables.consensus.member_id,
@@ -209,6 +217,9 @@
         self._connections.pop(exchange_id, None)
         self._commands.pop(exchange_id, None)
 
+    def _metrics_answer(self, request, now_ms):
+        return core_exposition.answer(exposition.samples(self._tables, now_ms))
+
     def _receive(self, message, peer_id, stream):
         now_ms = clock.now_ms()
         try:
@@ -373,6 +384,7 @@
 
     def _finish(self):
         self._admin.close_when_idle()
+        self._metrics.close_when_idle()
         self._pool.close()
         self._datagrams.close()
         self._storage.close()
--- /dev/null
+++ b/fescueyard/control/exposition.py
@@ -0,0 +1,27 @@
+"""The metrics that a control process serves."""
+
+from fescueyard.consensus import lease
+from fescueyard.control import systems
+from fescueyard.core import exposition
+
+
+def samples(tables, now_ms):
+    """Write the metrics.
+
+    :param tables: the control process's tables.
+    :param now_ms: the present time.
+    :returns: list of samples.
+    """
+    agreement = tables.consensus
+    values = {
+        "control_leads": int(lease.holds_lease(agreement, now_ms)),
+        "control_term": agreement.vote.term,
+        "control_commit_index": agreement.commit_index,
+        "control_applied_index": tables.applied_index,
+        "control_members": len(agreement.members),
+        "control_voters": sum(row.voter for row in agreement.members),
+        "control_document": tables.state.applied_document.number,
+        "control_age_ms": systems.age_ms(tables, now_ms),
+        "members_alive": tables.members.nodes_alive,
+    }
+    return [exposition.line(name, value) for name, value in values.items()]
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -16,6 +16,7 @@
 from fescueyard.core import dumps
 from fescueyard.core import effects
 from fescueyard.core import exceptions
+from fescueyard.core import exposition as core_exposition
 from fescueyard.core import http
 from fescueyard.core import ids
 from fescueyard.core import logs
@@ -63,23 +64,6 @@
         self._node.caller_left(exchange_id)
 
 
-class _AnswerEdge:
-    """Handler of a listener whose requests are answered at once.
-
-    :param answer: makes the answer of a request.
-    """
-
-    def __init__(self, answer):
-        self._answer = answer
-
-    def request_received(self, exchange_id, request, connection):
-        """Answer a request."""
-        connection.answer(self._answer(request, clock.now_ms()))
-
-    def caller_left(self, exchange_id):
-        """Nothing waits here."""
-
-
 class NodeProcess:
     """The process in the slot of one backend server VM.
 
@@ -133,17 +117,18 @@
         )
         backend_edge = _Edge(self, from_backend=True)
         if backend_answer is not None:
-            backend_edge = _AnswerEdge(
+            backend_edge = http_server.AnswerEdge(
                 functools.partial(self._told_by_backend, backend_answer)
             )
         self._backend_callers = http_server.HttpServer(
             backend_edge, settings.body_bytes_max
         )
         self._ready = http_server.HttpServer(
-            _AnswerEdge(self._ready_answer), settings.body_bytes_max
+            http_server.AnswerEdge(self._ready_answer), settings.body_bytes_max
         )
         self._metrics = http_server.HttpServer(
-            _AnswerEdge(self._metrics_answer), settings.body_bytes_max
+            http_server.AnswerEdge(self._metrics_answer),
+            settings.body_bytes_max,
         )
         self._backend = backend_client.BackendClient(
             BACKEND_CONNECTIONS_MAX,
@@ -176,10 +161,9 @@
             await self._ready.listen(
                 streams.parse_address(settings.ready_address)
             )
-        if settings.metrics_address:
-            await self._metrics.listen(
-                streams.parse_address(settings.metrics_address)
-            )
+        await http_server.listen_for_metrics(
+            self._metrics, settings.metrics_address
+        )
         LOG.info(
             "Node started.",
             node=self._tables.process_id,
@@ -283,7 +267,7 @@
         return http.HttpAnswer(200 if ready else 503, [], b"")
 
     def _metrics_answer(self, request, now_ms):
-        return exposition.answer(self._tables)
+        return core_exposition.answer(exposition.samples(self._tables, now_ms))
 
     # Callbacks of the streams and datagrams.
 
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -13,7 +13,9 @@
 
 PATH_VARIABLE = "FESCUEYARD_BOOT"
 STREAM_PORT_OFFSET = 0
-METRICS_PORT_OFFSET = 1
+# The deploy file names these ports, and the machines' own ports change.
+NODE_METRICS_PORT = 9100
+CONTROL_METRICS_PORT = 9101
 # Missed heartbeats after which a silent backend server counts as gone.
 HEARTBEATS_MISSED_MAX = 4
 # Two readiness questions, a second apart, move callers to other machines.
@@ -129,7 +131,7 @@
     file = _read()
     own, listen = file.Self, file.Network.Listen
     stop_timeout_ms = int(file.Terms.Bounds.GraceS * 1000)
-    values = _process_values(file)
+    values = _process_values(file, NODE_METRICS_PORT)
     values.update(
         node_id=own.Node,
         caller_address=listen.Outbound,
@@ -157,7 +159,7 @@
     :raises SettingsError: naming each field that is wrong.
     """
     file = _read()
-    values = _process_values(file)
+    values = _process_values(file, CONTROL_METRICS_PORT)
     founders = values["control_addresses"] if file.Self.Bootstrap else []
     tolerated = max(1, file.Terms.FaultTolerance.Machines)
     values.update(
@@ -214,7 +216,7 @@
         ) from None
 
 
-def _process_values(file):
+def _process_values(file, metrics_port):
     first_port = file.Network.InternalPorts[0]
     stream_port = first_port + STREAM_PORT_OFFSET
     seeds = []
@@ -226,9 +228,7 @@
         "region": file.Self.Region,
         "address": f"{file.Self.Ip}:{stream_port}",
         "control_addresses": seeds,
-        "metrics_address": (
-            f"{file.Self.Ip}:{first_port + METRICS_PORT_OFFSET}"
-        ),
+        "metrics_address": f"{file.Self.Ip}:{metrics_port}",
     }
 
 
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -7,9 +7,14 @@
 
 import httptools
 
+from fescueyard.core import clock
 from fescueyard.core import codes
 from fescueyard.core import http as http_models
+from fescueyard.core import logs
 from fescueyard.core import problems
+from fescueyard.transport import streams
+
+LOG = logs.PartLogger("http")
 
 HEADER_BYTES_MAX = 16 * 1024
 IDLE_TIMEOUT_S = 60.0
@@ -280,6 +285,37 @@
             loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
+class AnswerEdge:
+    """Handler of a listener whose requests are answered at once.
+
+    :param answer: makes the answer of a request.
+    """
+
+    def __init__(self, answer):
+        self._answer = answer
+
+    def request_received(self, exchange_id, request, connection):
+        """Answer a request."""
+        connection.answer(self._answer(request, clock.now_ms()))
+
+    def caller_left(self, exchange_id):
+        """Nothing waits here."""
+
+
+async def listen_for_metrics(server, address):
+    """Serve metrics, and go on without where that is not possible.
+
+    :param server: :class:`HttpServer`.
+    :param address: ``host:port``, or None for none.
+    """
+    if address is None:
+        return
+    try:
+        await server.listen(streams.parse_address(address))
+    except OSError as error:
+        LOG.warning("metrics_unserved", address=address, error=str(error))
+
+
 _OWN_HEADERS = ("connection", "content-length", "transfer-encoding")
 
 
--- a/tests/management/test_docs.py
+++ b/tests/management/test_docs.py
@@ -3,6 +3,7 @@
 import pathlib
 import re
 
+from fescueyard.control import exposition as control_exposition
 from fescueyard.core import codes
 from fescueyard.management.commands import codes as codes_command
 from fescueyard.management.commands import settings_table
@@ -53,8 +54,11 @@
     world.call("orders-zone-a-0", "/orders/work", setups.KEYS["board"])
     world.run(100)
     node = next(iter(world.nodes.values()))
-    text = exposition.render(node.tables, world.now_ms)
-    served = {re.match(r"[a-z_]+", line)[0] for line in text.splitlines()}
+    lines = exposition.samples(node.tables, world.now_ms)
+    lines += control_exposition.samples(
+        world.cluster.tables["m0"], world.now_ms
+    )
+    served = {re.match(r"[a-z_]+", line)[0] for line in lines}
     page = (REFERENCE / "metrics.md").read_text()
     named = set(re.findall(r"`(fescueyard_[a-z_]+)", page))
     assert served == named
