--- a/fescueyard/management/commands/trace.py
+++ b/fescueyard/management/commands/trace.py
@@ -74,15 +74,10 @@
     :returns: text.
     """
     calls = set()
-    story = []
     for line in lines:
         if line.fields.get("request", "").startswith(request_id):
-            story.append(line)
             calls.add((line.process, line.fields.get("call")))
-    for line in lines:
-        place = (line.process, line.fields.get("call"))
-        if "request" not in line.fields and place in calls and place[1]:
-            story.append(line)
+    story = [line for line in lines if _belongs(line, request_id, calls)]
     if not story:
         return f"no line of request {request_id}\n"
     story.sort(key=lambda line: line.at_s)
@@ -91,6 +86,14 @@
     return "\n".join(text) + "\n"
 
 
+def _belongs(line, request_id, calls):
+    """Say whether a line names the request, or one of its calls by number."""
+    if "request" in line.fields:
+        return line.fields["request"].startswith(request_id)
+    number = line.fields.get("call")
+    return number is not None and (line.process, number) in calls
+
+
 def _surroundings(story, lines):
     """Count how requests ended on the same processes around that time."""
     since_s = story[0].at_s - AROUND_S
--- /dev/null
+++ b/tests/management/test_operations.py
@@ -0,0 +1,103 @@
+"""The ways of docs/OPERATIONS.md, from a request's id to its cause."""
+
+import os
+import re
+
+import pytest
+
+from fescueyard.core import logs
+from fescueyard.management.commands import trace
+from fescueyard.pressure import models as pressure_models
+from tests import setups
+
+KEY = setups.KEYS["board"]
+
+
+@pytest.fixture(name="story")
+def _story(tmp_path):
+    """Give a function that tells the story of a request from the log."""
+    path = tmp_path / "fleet.log"
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT)
+    logs.open_sink(descriptor)
+
+    def tell(request_id):
+        logs.flush()
+        told = trace.render(request_id, trace.read(str(path)))
+        return [
+            re.sub(r"^.*\] ", "", line)
+            for line in told.split("\n\n")[0].splitlines()
+        ]
+
+    yield tell
+    logs.close_sink()
+    os.close(descriptor)
+
+
+def _call(world, request_id, path="/a/x", **options):
+    return world.call(
+        "orders-zone-a",
+        path,
+        KEY,
+        host="fleet.example",
+        x_request_id=request_id,
+        **options,
+    )
+
+
+def test_refused_under_load(story):
+    world = setups.routed(routes=[("a", {})])
+    pressure = world.nodes["orders-zone-a"].tables.pressure
+    pressure.doors["orders"] = pressure_models.DoorRow(1.0, "deep")
+    told = []
+    for number in range(10):
+        pressure.doors["orders"].share = 1.0
+        pressure.doors["orders"].told_at_ms = world.now_ms
+        told.append(_call(world, f"id-{number}"))
+        world.run(20)
+    refused = [
+        number for number, row in enumerate(told) if row.answer.status == 503
+    ]
+    lines = story(f"id-{refused[0]}")
+    assert [line.split()[0] for line in lines] == [
+        "accepted",
+        "turned_away",
+        "answered",
+    ]
+    assert "bottleneck='deep'" in lines[1] and "told_ms_ago=" in lines[1]
+    assert "code=2106" in lines[2]
+
+
+def test_lost_with_its_server(story):
+    world = setups.routed(routes=[("crash", {"idempotent": False}), ("a", {})])
+    setups.put_route(world, "r", "orders", path_prefix="/", idempotent=False)
+    world.run(1_500)
+    _call(world, "id-1", "/crash", method="POST")
+    world.run(200)
+    lines = story("id-1")
+    events = [line.split()[0] for line in lines]
+    assert events[:2] == ["accepted", "sent"]
+    assert "run_ended" in events and events[-1] == "answered"
+    ended = lines[events.index("run_ended")]
+    assert "reason='backend_failed'" in ended
+    assert "code=2302" in lines[-1]
+
+
+def test_refused_for_the_rate_and_for_an_unknown_key(story):
+    world = setups.routed(routes=[("a", {})], rate_per_s=1.0, burst=2)
+    for number in range(8):
+        _call(world, f"id-{number}")
+        world.run(30)
+    world.run(2_000)
+    answered = [story(f"id-{number}")[-1] for number in range(8)]
+    assert any("reason='rate_exceeded'" in line for line in answered)
+    world.call(
+        "orders-zone-a",
+        "/a/x",
+        "unknown",
+        host="fleet.example",
+        x_request_id="key-1",
+    )
+    world.run(100)
+    (line,) = story("key-1")
+    assert "reason='key_refused'" in line
+    assert "version=" in line and "age_ms=" in line
