Grantors that stop hand over at once; idle holdings are forgotten one grantor at a time

A node that stops with notice asked for no tokens any more, but stayed the grantor of its zone, so that its whole zone waited 200 ms and was refused until it had gone. And a question to one grantor forgot the idle holdings of all, so that the next one ended in a KeyError, which closed the stream that the question had come on.

Ruled out: the cut of a zone (only 31.5 to 34 s), the control VMs (their leader was up).

Change: a stopping node is no grantor; until callers must go it asks as before. Only the customers of the question at hand are forgotten.

Tests fail without it: 2209 for callers of the zone and of the stopping node; KeyError.

--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -59,7 +59,7 @@
     :param now_ms: the present time.
     """
     try:
-        if _refuses_callers(tables, now_ms) and not from_backend:
+        if tables.refuses_callers(now_ms) and not from_backend:
             raise exceptions.RequestError("", codes.LEAVING)
         if tables.routed:
             call = routed.parse(tables, exchange_id, request, now_ms)
@@ -104,13 +104,6 @@
     )
 
 
-def _refuses_callers(tables, now_ms):
-    """Say whether a planned stop has come so far that callers must go."""
-    if not tables.draining:
-        return False
-    return now_ms - tables.draining_since_ms >= tables.leave_notice_ms
-
-
 def _refuse_unparsed(tables, exchange_id, request, error, now_ms):
     tables.metrics.count(f"calls_{error.code.name}")
     LOG.decision(
--- a/fescueyard/limits/asking.py
+++ b/fescueyard/limits/asking.py
@@ -96,7 +96,7 @@
         if draft is not None:
             drafts.append(draft)
     if not drafts:
-        _forget_idle(rows, now_ms)
+        _forget_idle(customers, rows, now_ms)
         return
     if now_ms < link.report_due_ms and not any(row.urgent for row in drafts):
         return
@@ -129,7 +129,7 @@
         waiting = tables.limits.waiting.get(customer, ())
         needed = max(needed, len(waiting))
     ahead = int(holdings.present_demand_per_s(holding, now_ms) * ahead_s)
-    if tables.draining:
+    if tables.refuses_callers(now_ms):
         needed = ahead = 0
     returned = max(0, holding.tokens - max(needed, 2 * ahead))
     held = holdings.held(holding) - returned
@@ -146,8 +146,9 @@
     return _Draft(wish, wanted + extra > 0 or renew)
 
 
-def _forget_idle(rows, now_ms):
-    for customer, holding in list(rows.items()):
+def _forget_idle(customers, rows, now_ms):
+    for customer in customers:
+        holding = rows[customer]
         idle = now_ms - holding.demand_at_ms > 10 * holdings.DEMAND_WINDOW_MS
         if idle and not holdings.held(holding):
             del rows[customer]
--- a/fescueyard/limits/grantors.py
+++ b/fescueyard/limits/grantors.py
@@ -86,6 +86,7 @@
         usable = (
             (member.zone == members.own.zone) == in_own_zone
             and member.role == routing_models.NODE_ROLE
+            and not member.leaving
             and membership.is_alive(members, member.node_id)
         )
         if usable:
--- a/fescueyard/node/tables.py
+++ b/fescueyard/node/tables.py
@@ -112,6 +112,16 @@
         """
         return self.configuration.control_addresses or self.seeds
 
+    def refuses_callers(self, now_ms):
+        """Say whether a planned stop has come so far that callers must go.
+
+        :param now_ms: the present time.
+        :returns: bool.
+        """
+        if not self.draining:
+            return False
+        return now_ms - self.draining_since_ms >= self.leave_notice_ms
+
     def own_service(self):
         """Name the service of this VM's backend server.
 
--- /dev/null
+++ b/tests/limits/test_asking.py
@@ -0,0 +1,77 @@
+"""What a node asks of the grantors of its customers."""
+
+import pytest
+
+from fescueyard.core import codes
+from fescueyard.limits import asking
+from fescueyard.limits import grantors
+from fescueyard.limits import models
+from fescueyard.node import systems as node_systems
+from tests import setups
+
+
+KEY = setups.KEYS["board"]
+ZONE_A = ("orders-zone-a", "papers-zone-a", "stock-zone-a")
+NOTICE_MS = 2_600
+
+
+def _customers_of_two_grantors(tables, now_ms):
+    """Find two customers with different grantors, neither this node."""
+    found = {}
+    for number in range(100):
+        name = f"customer-{number}"
+        grantor_id = grantors.grantor_of(tables, name, now_ms)
+        if grantor_id != tables.members.own.node_id:
+            found.setdefault(grantor_id, name)
+    return list(found.values())[:2]
+
+
+def test_idle_customers_of_several_grantors_are_forgotten_together():
+    world = setups.routed(services=("orders", "stock", "papers"))
+    tables = world.nodes["orders-zone-a"].tables
+    names = _customers_of_two_grantors(tables, world.now_ms)
+    assert len(names) == 2
+    world.run(20_000)
+    for name in names:
+        tables.limits.holdings[name] = models.Holding()
+    asking.ask_all(tables, world.now_ms)
+    assert not set(names) & set(tables.limits.holdings)
+
+
+def _call_while_stopping(world, stopping, callers):
+    """Stop a node with notice while callers of some nodes go on.
+
+    :returns: result codes of the calls that were not answered by a server.
+    """
+    node = world.nodes[stopping]
+    node.tables.leave_notice_ms = NOTICE_MS
+    told = []
+    for number in range(300):
+        if number == 50:
+            node_systems.drain(node.tables, world.now_ms)
+            world._settle(node)
+        name = callers[number % len(callers)]
+        told.append(
+            world.call(name, f"/a/{number}", KEY, host="fleet.example")
+        )
+        world.run(10)
+    world.run(1_000)
+    return [row.code for row in told if row.answer.status != 200]
+
+
+@pytest.mark.parametrize("stopping", ZONE_A)
+def test_planned_stop_of_a_grantor_refuses_nobody_within_the_rate(stopping):
+    world = setups.routed(
+        services=("orders", "stock", "papers"),
+        routes=[("a", {})],
+        rate_per_s=200.0,
+    )
+    others = [name for name in ZONE_A if name != stopping]
+    assert _call_while_stopping(world, stopping, others) == []
+
+
+def test_callers_of_a_stopping_node_are_served_within_the_notice():
+    world = setups.routed(routes=[("a", {})], rate_per_s=200.0)
+    refused = _call_while_stopping(world, ZONE_A[0], ZONE_A[:1])
+    assert set(refused) <= {codes.LEAVING.number}
+    assert not refused
