Keep a server that slows down when nearly full just below that

Cause: the deepest service of both sites slows down by 1.3 from 0.95 of its slots on, and under load all its slots were in use. One request less at once gets 1.23 times as much done. A profile can't know this, as servers differ.

Change: while the limit binds, 40 starts at a time try another share of the slots (0.95, 0.9, 0.8); the latency is compared with the usual one before and after the trial, by priority, so that a server that is slow for another reason keeps its slots. Trials become rarer with what is known.

--- a/fescueyard/admission/limiter.py
+++ b/fescueyard/admission/limiter.py
@@ -7,6 +7,8 @@
 
 import math
 
+from fescueyard.admission import knee
+
 SHORT_WEIGHT = 0.1
 LONG_WEIGHT = 0.01
 LONG_RECOVERY_WEIGHT = 0.1
@@ -24,6 +26,7 @@
     row.short_ms = 0.0
     row.long_ms = 0.0
     row.by_priority_ms.clear()
+    row.knee_row = knee.KneeRow()
 
 
 def note_end(row, priority, latency_ms, running, slots, profile):
@@ -69,7 +72,16 @@
     :param running: requests that run now.
     :returns: bool.
     """
-    return running < int(row.limit)
+    return running < present_limit(row)
+
+
+def present_limit(row):
+    """Say how many requests may run at once.
+
+    :param row: :class:`~fescueyard.admission.models.LimiterRow`.
+    :returns: whole number.
+    """
+    return knee.allowed(row.knee_row, int(row.limit))
 
 
 def service_ms(row, priority):
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fescueyard.admission import knee
 from fescueyard.admission import messages
 
 
@@ -45,6 +46,8 @@
     :param started_at_ms: when it was sent to the backend server, or None.
     :param token: call token of the run; empty while queued.
     :param queued: whether it is in the queue.
+    :param sampled: index of the share of the slots that its latency is a
+        sample of, or None.
     :param failed_calls: fingerprints of its calls onward that failed.
     """
 
@@ -58,6 +61,7 @@
     started_at_ms: float | None = None
     token: str = ""
     queued: bool = False
+    sampled: int | None = None
     failed_calls: set[bytes] = dataclasses.field(default_factory=set)
 
 
@@ -70,12 +74,14 @@
     :param long_ms: usual latency, smoothed over many.
     :param by_priority_ms: latency of late of each priority. Less important
         runs may wait longer further down the chain.
+    :param knee_row: share of the limit at which most work gets done.
     """
 
     limit: float = 1.0
     short_ms: float = 0.0
     long_ms: float = 0.0
     by_priority_ms: dict[int, float] = dataclasses.field(default_factory=dict)
+    knee_row: knee.KneeRow = dataclasses.field(default_factory=knee.KneeRow)
 
 
 @dataclasses.dataclass
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from fescueyard.admission import announcements
+from fescueyard.admission import knee
 from fescueyard.admission import limiter
 from fescueyard.admission import messages
 from fescueyard.admission import models
@@ -36,8 +37,10 @@
 RETRY_AFTER_MAX_MS = 10_000
 RETRY_AFTER_SPREAD = 1.0
 TOKEN_BITS = 128
+COLD_CHANGE_MS = 500
 # A run is started while at least half of its usual time is left.
 TOO_LATE_SHARE = 0.5
+FAILED_STATUS = 500
 
 
 @dataclasses.dataclass(slots=True)
@@ -263,11 +266,22 @@
         crash_id = quarantine.note_crash(tables, row.forward, now_ms)
     elif tables.routed and answer is not None:
         quarantine.note_success(tables, row.forward.fingerprint)
+    if row.sampled is not None and _has_succeeded(answer):
+        knee.note_end(
+            table.limiter.knee_row,
+            row.sampled,
+            row.forward.priority,
+            now_ms - row.started_at_ms,
+        )
     _note_end(tables, row, now_ms)
     _end(tables, row, code, answer, 0.0, now_ms, crash_id)
     _start_what_may(tables, now_ms)
 
 
+def _has_succeeded(answer):
+    return answer is not None and answer.status < FAILED_STATUS
+
+
 def _probe(tables, forward):
     """Find out whether a run broke off because the server crashed."""
     table = tables.runs
@@ -544,6 +558,21 @@
     _start_what_may(tables, now_ms)
 
 
+def _start_sample(table, row):
+    """Let a run that took the last place tell how fast the server is then."""
+    limit = table.limiter
+    chosen = limit.knee_row.chosen
+    row.sampled = knee.note_start(limit.knee_row, int(limit.limit))
+    if limit.knee_row.chosen != chosen:
+        LOG.info(
+            "concurrency_share_changed",
+            share=knee.SHARES[limit.knee_row.chosen],
+            previous=knee.SHARES[chosen],
+            limit=limiter.present_limit(limit),
+            slots=table.backend.slots,
+        )
+
+
 def _note_end(tables, row, now_ms):
     table = tables.runs
     latency_ms = now_ms - row.started_at_ms
@@ -617,6 +646,9 @@
 
 def _tell_fleet(tables, now_ms):
     backend = tables.runs.backend
+    cold_ms = -1.0
+    if backend.cold_until_ms is not None:
+        cold_ms = max(0.0, backend.cold_until_ms - now_ms)
     membership.change_own(
         tables,
         now_ms,
--- a/tests/world.py
+++ b/tests/world.py
@@ -93,6 +93,8 @@
         self.slots = slots
         self.service_ms = service_ms
         self.slowdown = 1.0
+        self.knee_share = 1.0
+        self.knee_slowdown = 1.0
         self.own_tries = 1
         self.jitter = 0.0
         self.announces = True
@@ -417,6 +419,8 @@
             return
         delay_ms = float(query.get("ms", backend.service_ms))
         delay_ms *= backend.slowdown
+        if backend.running >= backend.knee_share * backend.slots:
+            delay_ms *= backend.knee_slowdown
         if backend.jitter:
             delay_ms *= self.random.uniform(
                 1 - backend.jitter, 1 + backend.jitter
