A stopping node's backend server works on until its callers go; warm servers start whole

The node refused runs from SIGTERM on, but stayed 3.5 s for its callers; and after the start the others counted on a tenth of the server's slots at first, five seconds long, though the server itself had been running all the time.

Change: with notice given to callers, runs are refused only for the last 0.6 s of it. The fleet is told how long a backend server says that it stays cold; while it is, half of its slots count, afterwards all. One that does not say starts slowly as before.

--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -19,7 +19,7 @@
     :param born_ms: its start, by its own clock; 0 when not told.
     :param sequence: number of its latest announcement.
     :param connect_failures: connections in a row that it did not accept.
-    :param cold_until_ms: it is slow until then.
+    :param cold_until_ms: it is slow until then; None when it did not say.
     """
 
     service: str
@@ -31,7 +31,7 @@
     born_ms: int = 0
     sequence: int = 0
     connect_failures: int = 0
-    cold_until_ms: float = float("-inf")
+    cold_until_ms: float | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -107,6 +107,7 @@
     :param by_attempt: ids by sender and attempt.
     :param broken_off: requests whose runs broke off, until it is known
         whether the backend server has crashed.
+    :param closed: the node is stopping and takes no more runs.
     """
 
     rows: dict[int, RunRow] = dataclasses.field(default_factory=dict)
@@ -123,6 +124,7 @@
         default_factory=list
     )
     last_run_id: int = 0
+    closed: bool = False
     backend: BackendRow | None = None
     limiter: LimiterRow = dataclasses.field(default_factory=LimiterRow)
     fairness: FairnessTable = dataclasses.field(default_factory=FairnessTable)
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -62,7 +62,16 @@
     """Event: time to see whether the backend server still renews."""
 
 
-def announce(tables, service, address, slots, ttl_ms, now_ms, fresh=False):
+def announce(
+    tables,
+    service,
+    address,
+    slots,
+    ttl_ms,
+    now_ms,
+    fresh=False,
+    cold_ms=None,
+):
     """Take in the announcement of the backend server, or its renewal.
 
     :param tables: the node's tables.
@@ -72,6 +81,7 @@
     :param ttl_ms: silence for so long means it is gone.
     :param now_ms: the present time.
     :param fresh: another process than the one known announced itself.
+    :param cold_ms: how long it stays slow, or None when it did not say.
     """
     table = tables.runs
     known = table.backend
@@ -90,6 +100,8 @@
         table.backend = models.BackendRow(
             service, address, slots, expires_at_ms, False
         )
+        if cold_ms is not None:
+            table.backend.cold_until_ms = now_ms + cold_ms
         _tell_fleet(tables, now_ms)
     timers.schedule(tables.timers, expires_at_ms, BackendExpiry())
 
@@ -146,13 +158,23 @@
             ttl_ms,
             now_ms,
             fresh=not same,
+            cold_ms=told.cold_ms,
         )
     if table.backend is not None:
         table.backend.instance = told.instance
         table.backend.born_ms = told.born_ms
         table.backend.sequence = told.sequence
         table.backend.connect_failures = 0
-        table.backend.cold_until_ms = now_ms + told.cold_ms
+        _note_cold(tables, told.cold_ms, now_ms)
+
+
+def _note_cold(tables, cold_ms, now_ms):
+    """Tell the fleet when a backend server is colder than was known."""
+    backend = tables.runs.backend
+    known_ms = backend.cold_until_ms or now_ms
+    backend.cold_until_ms = now_ms + cold_ms
+    if backend.cold_until_ms - known_ms > COLD_CHANGE_MS:
+        _tell_fleet(tables, now_ms)
 
 
 def backend_left(tables, instance, now_ms):
@@ -184,6 +206,17 @@
             _refuse(tables, table.rows[run_id], codes.LEAVING, now_ms)
 
 
+def close(tables, now_ms):
+    """Take no more work for the backend server; this node is stopping.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    tables.runs.closed = True
+    leave(tables, now_ms)
+    membership.change_own(tables, now_ms, accepting=False)
+
+
 def accept(tables, forward, peer_id, stream, now_ms):
     """Take a request for the backend server: run, queue or refuse it.
 
@@ -409,7 +442,7 @@
     backend = tables.runs.backend
     if backend is None or backend.service != forward.service:
         return codes.NO_BACKEND
-    if backend.leaving or tables.draining:
+    if backend.leaving or tables.runs.closed:
         return codes.LEAVING
     if row.deadline_at_ms <= now_ms:
         return codes.DEADLINE_NOT_RUN
@@ -526,6 +559,8 @@
     row.token = f"{tables.secure_random.getrandbits(TOKEN_BITS):x}"
     table.running[row.run_id] = None
     table.by_token[row.token] = row.run_id
+    if not limiter.may_start(table.limiter, len(table.running)):
+        _start_sample(table, row)
     forward = row.forward
     request = http.HttpRequest(
         forward.request.method,
@@ -654,5 +689,6 @@
         now_ms,
         service=backend.service,
         slots=backend.slots,
-        accepting=not (backend.leaving or tables.draining),
+        accepting=not (backend.leaving or tables.runs.closed),
+        cold_ms=cold_ms,
     )
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -3,6 +3,8 @@
 Importing this module registers every package's messages and events.
 """
 
+import dataclasses
+
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import messages as configuration_messages
 from fescueyard.configuration import replica as copies
@@ -22,6 +24,8 @@
 TICK_MAX_MS = 100
 TIMER_GRAIN_MS = 20
 HAND_OVER_MAX_MS = 5_000
+# A planned stop leaves the last runs at the backend server so long.
+LAST_RUNS_MS = 600
 PULL_INTERVAL_MS = 500
 PULL_SPREAD_MS = 200
 # A process without any configuration serves nothing.
@@ -89,9 +93,17 @@
             dispatch.handle(event, tables, now_ms)
 
 
+@dataclasses.dataclass(slots=True)
+class RunsClose:
+    """Event: a node that is stopping takes no more runs from now on."""
+
+
 def drain(tables, now_ms):
     """Begin a planned stop: no new work, tokens handed back.
 
+    Where callers need notice, the backend server goes on working until its
+    last runs end about when the callers have gone.
+
     :param tables: the node's tables.
     :param now_ms: the present time.
     """
@@ -99,13 +111,21 @@
         return
     tables.draining = True
     tables.draining_since_ms = now_ms
-    admission.leave(tables, now_ms)
-    membership.change_own(tables, now_ms, accepting=False, leaving=True)
-    if not tables.leave_notice_ms:
+    membership.change_own(tables, now_ms, leaving=True)
+    if tables.leave_notice_ms:
+        close_at_ms = now_ms + max(0, tables.leave_notice_ms - LAST_RUNS_MS)
+        timers.schedule(tables.timers, close_at_ms, RunsClose())
+    else:
+        admission.close(tables, now_ms)
         limits.release(tables, now_ms)
     handle_events(tables, now_ms)
 
 
+@dispatch.handle.register
+def _close_runs(event: RunsClose, tables, now_ms):
+    admission.close(tables, now_ms)
+
+
 def is_ready(tables):
     """Say whether callers should use this node.
 
--- a/fescueyard/routing/choice.py
+++ b/fescueyard/routing/choice.py
@@ -21,6 +21,9 @@
 UNREACHABLE_MS = 10_000
 REDIAL_MS = 500
 EJECTED_SHARE_MAX = 0.34
+# Share of its slots that counts while a backend server says it is cold.
+COLD_SHARE = 0.5
+WARMING_SHARE_MIN = 0.1
 
 
 def choose(tables, service, tried, slow_start_ms, now_ms):
@@ -227,12 +230,24 @@
         return 0.0
     capacity = max(1, target.limit or member.slots)
     load = max(_aged_load(table, member, target, now_ms), target.outstanding)
-    warm_for_ms = now_ms - target.seen_at_ms
-    if warm_for_ms < slow_start_ms:
-        capacity *= max(0.1, warm_for_ms / slow_start_ms)
+    capacity *= _warm_share(target, slow_start_ms, now_ms)
     return (load + 1) / capacity
 
 
+def _warm_share(target, slow_start_ms, now_ms):
+    """Share of the slots to count on so soon after a start.
+
+    A node may start anew beside a backend server that is warm, so what that
+    server said goes before the time since it was first seen.
+    """
+    if target.cold_until_ms is not None:
+        return COLD_SHARE if now_ms < target.cold_until_ms else 1.0
+    warm_for_ms = now_ms - target.seen_at_ms
+    if warm_for_ms >= slow_start_ms:
+        return 1.0
+    return max(WARMING_SHARE_MIN, warm_for_ms / slow_start_ms)
+
+
 def _aged_load(table, member, target, now_ms):
     """Load as last reported, moving towards the service's usual use."""
     age_ms = now_ms - target.reported_at_ms
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -315,9 +315,12 @@
     was_usable = known is not None and known.accepting
     target = table.targets.get(member.node_id)
     if target is None:
-        table.targets[member.node_id] = models.TargetRow(now_ms)
+        target = models.TargetRow(now_ms)
+        table.targets[member.node_id] = target
     elif not was_usable:
         target.seen_at_ms = now_ms
+    if member.cold_ms >= 0 and (known is None or known != member):
+        target.cold_until_ms = now_ms + member.cold_ms
 
 
 def _news_times(table):
--- a/fescueyard/routing/messages.py
+++ b/fescueyard/routing/messages.py
@@ -21,6 +21,8 @@
     :param slots: requests its backend server runs at once.
     :param accepting: whether its backend server takes new work.
     :param leaving: whether the process itself is stopping.
+    :param cold_ms: how long its backend server said that it stays slow;
+        negative when it did not say.
     """
 
     node_id: str
@@ -34,6 +36,7 @@
     slots: int
     accepting: bool
     leaving: bool
+    cold_ms: float = -1.0
 
 
 @wire.message(40)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -45,6 +45,7 @@
     """What this node knows of a backend server from its own calls.
 
     :param seen_at_ms: when it was first seen accepting.
+    :param cold_until_ms: it is slow until then; None when it did not say.
     :param outstanding: attempts under way from this node.
     :param reported_load: requests there at its last answer.
     :param reported_at_ms: time of that answer.
@@ -58,6 +59,7 @@
     """
 
     seen_at_ms: float
+    cold_until_ms: float | None = None
     outstanding: int = 0
     reported_load: int = 0
     reported_at_ms: float = float("-inf")
