Requests that come back too late for their objective go after their equals

Those that came back went before new ones of their rank, 1 to 2 s after their first try, and so ended late; in their place new ones were refused, and ended late in their turn. The most that such a loop can serve in time goes to nothing while the surge lasts.

Ruled out: capacity alone (the deepest service ran at its limit all the time, knee found).

Change: a request that has used 0.7 of its objective ranks after its equals; one that can still end in time is their equal. Retry-After at the door lies within the objective (0.2 to 0.6 of it, and up to half as much again), 300 ms at least.

--- a/fescueyard/ingress/routed.py
+++ b/fescueyard/ingress/routed.py
@@ -65,7 +65,9 @@
         attempts_max=route.attempts_max,
         objective_ms=route.objective_ms,
         is_call=route.public,
-        rank=door.rank(tables.pressure, row.name, priority, left_ms),
+        rank=door.rank(
+            tables.pressure, row.name, priority, left_ms, route.objective_ms
+        ),
     )
 
 
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -39,7 +39,12 @@
 ANSWER_GRACE_MS = 120
 RETRY_AFTER_SPREAD = 1.0
 TURNED_AWAY_MIN_MS = 300
-TURNED_AWAY_MS = 1_500
+TURNED_AWAY_MS = 1_500  # for routes without an objective
+# Parts of the objective after which a request may return; what is left of it
+# is enough for its run.
+RETURN_SHARE = 0.2
+RETURN_SHARE_BUSY = 0.4
+RETURN_SPREAD = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -199,8 +204,11 @@
 
 def _turn_away(tables, call, share, now_ms):
     """Refuse new work at the door; the busier, the later it may return."""
-    spread = 1 + RETRY_AFTER_SPREAD * tables.random.random()
-    wait_ms = (TURNED_AWAY_MIN_MS + TURNED_AWAY_MS * share) * spread
+    wait_ms = TURNED_AWAY_MIN_MS + TURNED_AWAY_MS * share
+    if call.objective_ms:
+        busy_share = RETURN_SHARE + RETURN_SHARE_BUSY * share
+        wait_ms = max(TURNED_AWAY_MIN_MS, busy_share * call.objective_ms)
+    wait_ms *= 1 + RETURN_SPREAD * tables.random.random()
     LOG.decision(
         "turned_away",
         request=call.request_id,
--- a/fescueyard/pressure/door.py
+++ b/fescueyard/pressure/door.py
@@ -21,8 +21,8 @@
 SHARE_MIN = 0.02
 # Some of each rank always passes, so that none is starved.
 RANK_SHARE_MAX = 0.75
-# A request with less of its time left than this share came back.
-RETURNED_SHARE = 0.85
+# A request that has used this share of its objective ends too late for it.
+IN_TIME_SHARE = 0.7
 
 
 def note_answer(table, service, told, is_call, now_ms):
@@ -73,19 +73,26 @@
     return worst
 
 
-def rank(table, route, priority, left_ms):
-    """Rank a new request; one that came back goes before its equals.
+def rank(table, route, priority, left_ms, objective_ms):
+    """Rank a new request; one that can't end in time goes after its equals.
+
+    Load pattern: a surge that lasts, whose refused callers come back once.
+    If they went first they would fill the service, all too late, and each new
+    request would be refused in its turn.
 
     :param table: :class:`~fescueyard.pressure.models.PressureTable`.
     :param route: name of its route.
     :param priority: its priority.
     :param left_ms: time that its caller has left.
+    :param objective_ms: time from its caller's first try within which an
+        answer is in time; 0 for none.
     :returns: whole number, the lowest is the most important.
     """
     longest_ms = max(table.longest_ms.get(route, 0.0), left_ms)
     table.longest_ms[route] = longest_ms
-    returned = left_ms < RETURNED_SHARE * longest_ms
-    return 2 * priority + (0 if returned else 1)
+    used_ms = longest_ms - left_ms
+    late = 0 < IN_TIME_SHARE * objective_ms < used_ms
+    return 2 * priority + int(late)
 
 
 def turns_away(table, service, request_rank, now_ms):
