--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -319,7 +319,8 @@
         table.targets[member.node_id] = target
     elif not was_usable:
         target.seen_at_ms = now_ms
-    if member.cold_ms >= 0 and (known is None or known != member):
+    said_anew = known is None or known.cold_ms != member.cold_ms
+    if said_anew and member.cold_ms >= 0:
         target.cold_until_ms = now_ms + member.cold_ms
 
 
--- a/tests/routing/test_stopping.py
+++ b/tests/routing/test_stopping.py
@@ -95,6 +95,17 @@
     assert _share_of_zone_b(world) == 1.0
 
 
+def test_other_news_of_a_node_does_not_make_its_server_cold_again():
+    world = _world()
+    _told_cold(world, 3_000.0)
+    world.run(3_000)
+    node = world.nodes["orders-zone-b"]
+    node_systems.drain(node.tables, world.now_ms)
+    world._settle(node)
+    world.run(1_000)
+    assert _share_of_zone_b(world) == 1.0
+
+
 def test_server_that_turns_out_to_be_cold_is_told_of_again():
     """The health path, asked at a start, does not say whether it is cold."""
     world = _world()
