Pressure recovers after a server that hung, and shows while nothing starts

Cause, found reading the diff: the capacity was learned down to nothing from rounds that started nothing, and came back by 2 % a round. While nothing had started yet there was no capacity, and so no pressure at all; the test that some load always passes could not fail on that.

--- a/fescueyard/pressure/models.py
+++ b/fescueyard/pressure/models.py
@@ -27,6 +27,7 @@
     :param started: requests started since then.
     :param waited_ms: sum of their waits.
     :param late_rounds: adjustments in a row that found work waiting.
+    :param quiet_rounds: adjustments in a row that found none waiting.
     :param overloaded_rounds: adjustments in a row that found a long wait.
     :param arrivals_mean: arrivals between two adjustments of late.
     :param capacity: starts between two adjustments while work waits; 0 while
@@ -41,6 +42,7 @@
     started: int = 0
     waited_ms: float = 0.0
     late_rounds: int = 0
+    quiet_rounds: int = 0
     overloaded_rounds: int = 0
     arrivals_mean: float = 0.0
     capacity: float = 0.0
--- a/fescueyard/pressure/source.py
+++ b/fescueyard/pressure/source.py
@@ -25,6 +25,10 @@
 CAPACITY_SMOOTHING = 0.3
 # Without a queue the capacity is unknown; it may be more.
 CAPACITY_GROWTH = 1.02
+# After so many adjustments without a queue the capacity known is too low; a
+# backend server that hung for a while leaves next to none behind.
+QUIET_ROUNDS = 10
+QUIET_GROWTH = 1.2
 # A queue that is too long is to be gone within this time.
 DRAIN_MS = 150
 DRAIN_SHARE_MAX = 0.5
@@ -68,14 +72,18 @@
     _count_rounds(row, wait_ms)
     _follow_capacity(row)
     demand = _demand(row)
-    if row.capacity:
-        _approach(row, _share_to_keep(row, demand, wait_ms))
+    _approach(row, _share_to_keep(row, demand, wait_ms))
     row.arrived = row.started = 0
     row.waited_ms = 0.0
 
 
 def _count_rounds(row, wait_ms):
-    row.late_rounds = row.late_rounds + 1 if wait_ms > WAIT_TARGET_MS else 0
+    if wait_ms > WAIT_TARGET_MS:
+        row.late_rounds += 1
+        row.quiet_rounds = 0
+    else:
+        row.late_rounds = 0
+        row.quiet_rounds += 1
     if wait_ms > OVERLOADED_WAIT_MS:
         row.overloaded_rounds += 1
     else:
@@ -105,7 +113,11 @@
 def _share_to_keep(row, demand, wait_ms):
     excess = (wait_ms - WAIT_TARGET_MS) / DRAIN_MS
     excess = min(DRAIN_SHARE_MAX, max(-GROW_SHARE_MAX, excess))
+    if not row.late_rounds and not row.capacity:
+        return 1.0
     share = row.capacity * (1 - excess) / max(demand, 0.01)
+    if row.quiet_rounds >= QUIET_ROUNDS:
+        share = max(share, QUIET_GROWTH * row.kept)
     return min(1.0, max(KEPT_MIN, share))
 
 
--- a/tests/pressure/test_source.py
+++ b/tests/pressure/test_source.py
@@ -40,3 +40,20 @@
     row = models.SourceRow()
     _rounds(row, 1_000, 5_000, 100, 0)
     assert source.own_pressure(row, "deep").share <= 1 - source.KEPT_MIN
+
+
+def test_server_that_starts_nothing_is_pressure():
+    row = models.SourceRow()
+    _rounds(row, 20, 5_000, 100, 0)
+    assert source.own_pressure(row, "deep").share >= 0.5
+
+
+def test_pressure_of_a_server_that_hung_is_forgotten_in_five_seconds():
+    """It starts nothing for five seconds, then all that is let in."""
+    row = models.SourceRow()
+    now_ms = _rounds(row, 20, 50, 10, 10)
+    now_ms = _rounds(row, 50, 2_000, 10, 0, now_ms)
+    for _ in range(50):
+        let_in = 10 * row.kept
+        now_ms = _rounds(row, 1, 0, let_in, let_in, now_ms)
+    assert source.own_pressure(row, "deep").share < 0.1
