Say in logs and metrics what each decision about a rate rests on

Now: a line rate_decided for each limited call (basis, wait, tokens left, age of the grantor's word), grantor_silent, grantor_back, grantor_in_charge, rate_held_back, counters of decisions by basis at nodes, tokens granted and nodes missing at control processes. No decision changes.

--- a/fescueyard/control/exposition.py
+++ b/fescueyard/control/exposition.py
@@ -22,6 +22,8 @@
         "control_voters": sum(row.voter for row in agreement.members),
         "control_document": tables.state.applied_document.number,
         "control_age_ms": systems.age_ms(tables, now_ms),
+        "tokens_granted_total": tables.fleet.granted_count,
+        "rate_nodes_missing": tables.fleet.nodes_missing,
         "members_alive": tables.members.nodes_alive,
     }
     return [exposition.line(name, value) for name, value in values.items()]
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -21,6 +21,7 @@
 from fescueyard.ingress import parsing
 from fescueyard.ingress import routed
 from fescueyard.keys import systems as keys
+from fescueyard.limits import decisions as rate_decisions
 from fescueyard.limits import systems as limits
 from fescueyard.once import systems as claims
 from fescueyard.pressure import door
@@ -174,7 +175,7 @@
 
 
 @dispatch.handle.register
-def _rate_decided(event: limits.RateDecided, tables, now_ms):
+def _rate_decided(event: rate_decisions.RateDecided, tables, now_ms):
     call = tables.calls.rows.get(event.call_id)
     if call is None:
         limits.give_back(tables, event, now_ms)
--- a/fescueyard/limits/asking.py
+++ b/fescueyard/limits/asking.py
@@ -3,11 +3,14 @@
 import dataclasses
 
 from fescueyard.core import effects
+from fescueyard.core import logs
 from fescueyard.limits import grantors
 from fescueyard.limits import holdings
 from fescueyard.limits import messages
 from fescueyard.limits import models
 
+LOG = logs.PartLogger("limits")
+
 ASK_TIMEOUT_MS = 300
 ASK_PAUSE_MS = 3
 NODE_REPORT_MS = 60
@@ -70,6 +73,12 @@
     :param link: :class:`~fescueyard.limits.models.Link`.
     :param now_ms: the present time.
     """
+    LOG.info(
+        "grantor_silent",
+        grantor=key,
+        asked_ms_ago=round(now_ms - link.asked_at_ms),
+        failures=link.failures + 1,
+    )
     link.asked_at_ms = None
     link.ask_due_ms = now_ms + ASK_PAUSE_MS
     link.failures += 1
@@ -82,6 +91,22 @@
         link.failed_until_ms = now_ms + FLEET_FAILED_MS
 
 
+def note_answer(key, link, in_charge, now_ms):
+    """Take in that a grantor answered.
+
+    :param key: key of the link.
+    :param link: :class:`~fescueyard.limits.models.Link`.
+    :param in_charge: whether it grants.
+    :param now_ms: the present time.
+    """
+    if link.failures and in_charge:
+        LOG.info("grantor_back", grantor=key, failures=link.failures)
+    link.asked_at_ms = None
+    link.failures = 0
+    link.failed_until_ms = float("-inf")
+    link.ask_due_ms = now_ms + ASK_PAUSE_MS
+
+
 def _ask(tables, key, customers, rows, ahead_s, now_ms):
     link = tables.limits.links.setdefault(key, models.Link())
     if link.asked_at_ms is not None:
--- /dev/null
+++ b/fescueyard/limits/decisions.py
@@ -0,0 +1,68 @@
+"""What is decided about a call's rate, with its log line and counter."""
+
+import dataclasses
+import enum
+import math
+
+from fescueyard.core import codes
+from fescueyard.core import logs
+
+LOG = logs.PartLogger("limits")
+
+
+class Basis(enum.Enum):
+    """What a decision about a call's rate rests on."""
+
+    UNLIMITED = "unlimited"
+    GRANTED = "granted"
+    OWN_PART = "own_part"
+    NO_TOKEN = "no_token"
+
+
+@dataclasses.dataclass(slots=True)
+class RateDecided:
+    """Event: a call got its token, or is refused.
+
+    :param code: ``OK`` or the refusal.
+    :param waited_ms: how long the call waited for it.
+    """
+
+    call_id: int
+    customer: str
+    code: codes.ResultCode
+    basis: Basis
+    retry_after_ms: float = 0.0
+    waited_ms: float = 0.0
+
+
+def conclude(tables, decided, holding, now_ms):
+    """Log and count a decision, and hand it on as an event.
+
+    :param tables: the node's tables.
+    :param decided: :class:`RateDecided`.
+    :param holding: :class:`~fescueyard.limits.models.Holding` it was taken
+        by, or None without a limit.
+    :param now_ms: the present time.
+    """
+    tables.events.append(decided)
+    if decided.basis is Basis.UNLIMITED:
+        return
+    tables.metrics.count(f"rate_{decided.basis.value}")
+    call = tables.calls.rows.get(decided.call_id)
+    LOG.decision(
+        "rate_decided",
+        request="" if call is None else call.request_id,
+        call=decided.call_id,
+        customer=decided.customer,
+        code=decided.code.number,
+        basis=decided.basis.value,
+        waited_ms=round(decided.waited_ms),
+        tokens=holding.tokens,
+        valid_ms=_whole(holding.expires_at_ms - now_ms),
+        fed_ms_ago=_whole(now_ms - holding.fed_at_ms),
+    )
+
+
+def _whole(value_ms):
+    """Round for a log line; what never was has no number."""
+    return round(value_ms) if math.isfinite(value_ms) else None
--- a/fescueyard/limits/fleet.py
+++ b/fescueyard/limits/fleet.py
@@ -11,10 +11,13 @@
 import dataclasses
 
 from fescueyard.configuration import models as configuration_models
+from fescueyard.core import logs
 from fescueyard.limits import messages
 from fescueyard.limits import models
 from fescueyard.limits import standing
 
+LOG = logs.PartLogger("limits")
+
 LIFETIME_MS = 2_000
 # What holders are told; shorter, so that a clock that is a twentieth slower
 # than the grantor's still ends it in time.
@@ -30,6 +33,7 @@
     :param now_ms: the present time.
     """
     if term != table.term:
+        LOG.info("grantor_in_charge", term=term, before=table.term)
         table.buckets.clear()
         table.term = term
         table.in_charge_since_ms = now_ms
@@ -46,6 +50,8 @@
         sight may grant parts of their own.
     :returns: :class:`~fescueyard.limits.messages.TokenAnswer`.
     """
+    if members is not None:
+        _note_missing(table, members)
     grants = []
     for wish in ask.wishes:
         customer = state.find(
@@ -77,7 +83,9 @@
         bucket = _bucket(table, wish.customer)
         reserve = _unknown_held(table, customer, now_ms)
         _refill(bucket, customer, reserve, now_ms)
-        grants.append(_grant(bucket, customer, ask, wish, reserve, now_ms))
+        grant = _grant(bucket, customer, ask, wish, reserve, now_ms)
+        table.granted_count += grant.granted
+        grants.append(grant)
     return messages.TokenAnswer(ask.question_id, True, True, grants)
 
 
@@ -90,6 +98,20 @@
     return max(1, customer.burst // 2)
 
 
+def _note_missing(table, members):
+    """Log when the number of nodes changes for which a part is held back."""
+    missing = max(0, members.nodes_seen_max - members.nodes_alive)
+    if missing == table.nodes_missing:
+        return
+    LOG.info(
+        "rate_held_back",
+        nodes_missing=missing,
+        before=table.nodes_missing,
+        nodes_seen_max=members.nodes_seen_max,
+    )
+    table.nodes_missing = missing
+
+
 def _bucket(table, name):
     bucket = table.buckets.get(name)
     if bucket is None:
--- a/fescueyard/limits/models.py
+++ b/fescueyard/limits/models.py
@@ -37,11 +37,15 @@
 
     :param term: term of the leader; 0 before the first.
     :param in_charge_since_ms: when it took office.
+    :param granted_count: tokens granted, of all customers.
+    :param nodes_missing: nodes out of sight when it was last asked.
     """
 
     buckets: dict[str, FleetBucket] = dataclasses.field(default_factory=dict)
     term: int = 0
     in_charge_since_ms: float = 0.0
+    granted_count: int = 0
+    nodes_missing: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -6,13 +6,12 @@
 spent, since the grantor takes it for held until then.
 """
 
-import dataclasses
-
 from fescueyard.configuration import models as configuration_models
 from fescueyard.core import codes
 from fescueyard.core import dispatch
 from fescueyard.core import effects
 from fescueyard.limits import asking
+from fescueyard.limits import decisions
 from fescueyard.limits import grantors
 from fescueyard.limits import holdings
 from fescueyard.limits import messages
@@ -31,21 +30,8 @@
 SAFETY_MS = 20
 
 
-@dataclasses.dataclass(slots=True)
-class RateDecided:
-    """Event: a call got its token, or is refused.
-
-    :param code: ``OK`` or the refusal.
-    """
-
-    call_id: int
-    customer: str
-    code: codes.ResultCode
-    retry_after_ms: float
-
-
 def request(tables, call_id, customer, now_ms):
-    """Take a token for a call; a :class:`RateDecided` event follows.
+    """Take a token for a call; an event tells what was decided.
 
     :param tables: the node's tables.
     :param call_id: the call.
@@ -53,21 +39,24 @@
     :param now_ms: the present time.
     """
     if not _is_limited(tables, customer):
-        _decide(tables, call_id, customer, codes.OK, 0.0)
+        decided = decisions.RateDecided(
+            call_id, customer, codes.OK, decisions.Basis.UNLIMITED
+        )
+        decisions.conclude(tables, decided, None, now_ms)
         return
     holding = grantors.own_holding(tables, customer, now_ms)
     holdings.note_demand(holding, 1, now_ms)
     waiting = tables.limits.waiting.get(customer, [])
     if not waiting and holdings.spend(holding, now_ms):
-        _decide(tables, call_id, customer, codes.OK, 0.0)
+        _pass(tables, call_id, customer, decisions.Basis.GRANTED, 0.0, now_ms)
     elif grantors.is_cut_off(tables, customer, now_ms):
-        code = codes.RATE_UNKNOWN
         if standing.take(tables, customer, holding, now_ms):
-            code = codes.OK
-        _decide(tables, call_id, customer, code, CUT_OFF_RETRY_MS)
+            basis = decisions.Basis.OWN_PART
+            _pass(tables, call_id, customer, basis, 0.0, now_ms)
+        else:
+            _refuse_unknown(tables, call_id, customer, 0.0, now_ms)
     elif len(waiting) >= _may_wait(holding, now_ms):
-        wait_ms = holding.exhausted_until_ms - now_ms
-        _decide(tables, call_id, customer, codes.RATE_EXCEEDED, wait_ms)
+        _refuse_exceeded(tables, call_id, customer, 0.0, now_ms)
     else:
         give_up_at_ms = now_ms + _wait_max_ms(tables, call_id)
         waiting.append(models.WaitingCall(call_id, now_ms, give_up_at_ms))
@@ -79,7 +68,7 @@
     """Take back the token of a call that ended meanwhile.
 
     :param tables: the node's tables.
-    :param event: :class:`RateDecided`.
+    :param event: :class:`~fescueyard.limits.decisions.RateDecided`.
     :param now_ms: the present time.
     """
     if event.code is codes.OK and _is_limited(tables, event.customer):
@@ -143,14 +132,10 @@
     if message.question_id != link.question_id:
         return
     asked_at_ms = link.asked_at_ms
-    link.asked_at_ms = None
-    link.failures = 0
-    link.failed_until_ms = float("-inf")
+    asking.note_answer(key, link, message.in_charge, now_ms)
     if not message.in_charge:
         tables.limits.control_turn += 1
-        link.ask_due_ms = now_ms + asking.ASK_PAUSE_MS
         return
-    link.ask_due_ms = now_ms + asking.ASK_PAUSE_MS
     rows = tables.limits.holdings
     if message.to_fleet:
         rows = tables.limits.pools
@@ -176,8 +161,43 @@
         asking.ask_all(tables, now_ms)
 
 
-def _decide(tables, call_id, customer, code, retry_after_ms):
-    tables.events.append(RateDecided(call_id, customer, code, retry_after_ms))
+def _pass(tables, call_id, customer, basis, waited_ms, now_ms):
+    decided = decisions.RateDecided(
+        call_id, customer, codes.OK, basis, 0.0, waited_ms
+    )
+    _conclude(tables, decided, now_ms)
+
+
+def _refuse_exceeded(tables, call_id, customer, waited_ms, now_ms):
+    """Refuse a call of a customer whose bucket is empty."""
+    holding = grantors.own_holding(tables, customer, now_ms)
+    decided = decisions.RateDecided(
+        call_id,
+        customer,
+        codes.RATE_EXCEEDED,
+        decisions.Basis.NO_TOKEN,
+        holding.exhausted_until_ms - now_ms,
+        waited_ms,
+    )
+    _conclude(tables, decided, now_ms)
+
+
+def _refuse_unknown(tables, call_id, customer, waited_ms, now_ms):
+    """Refuse a call because no grantor answers."""
+    decided = decisions.RateDecided(
+        call_id,
+        customer,
+        codes.RATE_UNKNOWN,
+        decisions.Basis.NO_TOKEN,
+        CUT_OFF_RETRY_MS,
+        waited_ms,
+    )
+    _conclude(tables, decided, now_ms)
+
+
+def _conclude(tables, decided, now_ms):
+    holding = grantors.own_holding(tables, decided.customer, now_ms)
+    decisions.conclude(tables, decided, holding, now_ms)
 
 
 def _wait_max_ms(tables, call_id):
@@ -248,7 +268,10 @@
         rows = table.waiting[customer]
         holding = grantors.own_holding(tables, customer, now_ms)
         while rows and holdings.spend(holding, now_ms):
-            _decide(tables, rows.pop(0).call_id, customer, codes.OK, 0.0)
+            row = rows.pop(0)
+            basis = decisions.Basis.GRANTED
+            waited_ms = now_ms - row.since_ms
+            _pass(tables, row.call_id, customer, basis, waited_ms, now_ms)
         kept = []
         for row in rows:
             waited_ms = now_ms - row.since_ms
@@ -258,17 +281,10 @@
             ):
                 kept.append(row)
             else:
-                wait_ms = holding.exhausted_until_ms - now_ms
-                _decide(
-                    tables,
-                    row.call_id,
-                    customer,
-                    codes.RATE_EXCEEDED,
-                    wait_ms,
+                _refuse_exceeded(
+                    tables, row.call_id, customer, waited_ms, now_ms
                 )
-        table.waiting[customer] = kept
-        if not kept:
-            del table.waiting[customer]
+        _keep_waiting(table, customer, kept)
 
 
 def _expire_waiting(tables, now_ms):
@@ -281,17 +297,19 @@
             if waited_ms >= STANDING_WAIT_MS and standing.take(
                 tables, customer, holding, now_ms
             ):
-                _decide(tables, row.call_id, customer, codes.OK, 0.0)
+                basis = decisions.Basis.OWN_PART
+                _pass(tables, row.call_id, customer, basis, waited_ms, now_ms)
             elif now_ms < row.give_up_at_ms:
                 kept.append(row)
             else:
-                _decide(
-                    tables,
-                    row.call_id,
-                    customer,
-                    codes.RATE_UNKNOWN,
-                    CUT_OFF_RETRY_MS,
+                _refuse_unknown(
+                    tables, row.call_id, customer, waited_ms, now_ms
                 )
+        _keep_waiting(table, customer, kept)
+
+
+def _keep_waiting(table, customer, kept):
+    if kept:
         table.waiting[customer] = kept
-        if not kept:
-            del table.waiting[customer]
+    else:
+        del table.waiting[customer]
--- a/tests/limits/test_rate.py
+++ b/tests/limits/test_rate.py
@@ -6,10 +6,10 @@
 from fescueyard.configuration import state as states
 from fescueyard.core import codes
 from fescueyard.core import dispatch
+from fescueyard.limits import decisions
 from fescueyard.limits import fleet
 from fescueyard.limits import messages
 from fescueyard.limits import models as limit_models
-from fescueyard.limits import systems as limits
 from tests import setups
 
 KEY = setups.KEYS["board"]
@@ -25,16 +25,16 @@
         self.world = None
         self.spent_at_ms = []
         self.refused = []
-        decide = limits._decide
+        conclude = decisions.conclude
 
-        def note(tables, call_id, customer, code, retry_after_ms):
-            if code is codes.OK:
+        def note(tables, decided, holding, now_ms):
+            if decided.code is codes.OK:
                 self.spent_at_ms.append(self.world.now_ms)
             else:
-                self.refused.append((self.world.now_ms, code.name))
-            decide(tables, call_id, customer, code, retry_after_ms)
+                self.refused.append((self.world.now_ms, decided.code.name))
+            conclude(tables, decided, holding, now_ms)
 
-        monkeypatch.setattr(limits, "_decide", note)
+        monkeypatch.setattr(decisions, "conclude", note)
 
     def highest_excess(self, rate_per_s, burst):
         """Find by how much any window exceeds rate times time plus burst."""
--- a/tests/management/test_operations.py
+++ b/tests/management/test_operations.py
@@ -101,3 +101,24 @@
     (line,) = story("key-1")
     assert "reason='key_refused'" in line
     assert "version=" in line and "age_ms=" in line
+
+
+def test_decision_about_a_rate_says_what_it_rests_on(story):
+    world = setups.routed(
+        routes=[("a", {})],
+        rate_per_s=20.0,
+        burst=20,
+        key_staleness_max_ms=60_000,
+        cut_off_rate_share=1.0,
+    )
+    _call(world, "id-1")
+    world.run(200)
+    world.cluster.frozen.add("m0")
+    world.run(6_000)
+    _call(world, "id-2")
+    world.run(1_000)
+    granted = [line for line in story("id-1") if "rate_decided" in line]
+    assert len(granted) == 1 and "basis='granted'" in granted[0]
+    own_part = [line for line in story("id-2") if "rate_decided" in line]
+    assert len(own_part) == 1 and "basis='own_part'" in own_part[0]
+    assert "fed_ms_ago=" in own_part[0]
