--- a/tests/limits/test_standing.py
+++ b/tests/limits/test_standing.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fescueyard.limits import grantors
 from tests import setups
 
 KEY = setups.KEYS["board"]
@@ -102,3 +103,32 @@
     told = world.call("orders-zone-b", "/a/x", KEY, host="fleet.example")
     world.run(2_500)
     assert told.answer.status == 503
+
+
+def _cut_from_control(world, name):
+    """Cut a node off from the control VMs, though not from other nodes."""
+    for member_id in world.cluster.disks:
+        world.cut_pairs.add((name, member_id))
+
+
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt, issue 14")
+@pytest.mark.parametrize("seed", range(3))
+def test_zones_whose_grantors_lost_the_fleet_add_nothing_to_a_rate(seed):
+    world = setups.routed(
+        seed,
+        routes=[("a", {})],
+        rate_per_s=RATE_PER_S,
+        burst=BURST,
+        per_zone=3,
+        controls=3,
+        key_staleness_max_ms=60_000,
+        cut_off_rate_share=1.0,
+    )
+    for zone in ("zone-b", "zone-c"):
+        tables = world.nodes[f"orders-{zone}"].tables
+        grantor = grantors.grantor_of(tables, "board", world.now_ms)
+        _cut_from_control(world, grantor)
+    world.run(1_200)
+    _press(world, 7, 5 * RATE_PER_S)
+    world.run(8_000)
+    assert _most_in_window(world) <= _bound()
--- a/tests/setups.py
+++ b/tests/setups.py
@@ -75,16 +75,19 @@
     burst=100,
     slots=20,
     service_ms=5.0,
+    per_zone=1,
+    controls=1,
     **profile,
 ):
     """Make nodes that take requests by routes, with one customer, and settle.
 
     :param routes: rows of name and the fields that differ from a route at
         ``/NAME/`` of ``fleet.example`` to the first service.
+    :param per_zone: nodes of each service in each zone.
     :param profile: fields of the profile.
     :returns: the world, after its first four seconds.
     """
-    world = worlds.World(seed)
+    world = worlds.World(seed, controls=controls)
     put(world, "profile", "standard", **profile)
     for service in services:
         put(world, "service", service, profile="standard")
@@ -102,9 +105,11 @@
         put_route(world, name, services[0], **fields)
     for service in services:
         for zone in zones:
-            world.add_node(
-                f"{service}-{zone}", zone, service, slots, service_ms, True
-            )
+            for number in range(per_zone):
+                name = f"{service}-{zone}"
+                if number:
+                    name += f"-{number}"
+                world.add_node(name, zone, service, slots, service_ms, True)
     world.run(4_000)
     return world
 
