--- /dev/null
+++ b/fescueyard/transport/backend_connection.py
@@ -0,0 +1,246 @@
+"""One connection to the VM's own backend server, and what comes on it."""
+
+import asyncio
+import concurrent.futures
+import dataclasses
+
+import httptools
+
+from fescueyard.core import codes
+from fescueyard.core import http
+from fescueyard.transport import sockets
+
+IDLE_MAX_S = 30.0
+IDLE_MARGIN_S = 1.0
+WRONG_INSTANCE_STATUS = 421
+_BODYLESS_STATUSES = (204, 304)
+
+
+@dataclasses.dataclass
+class BackendResult:
+    """How a run at the backend server ended.
+
+    :param answer: the whole answer, or None.
+    :param code: result code; ``OK`` with an answer.
+    """
+
+    answer: http.HttpAnswer | None
+    code: codes.ResultCode
+
+
+@dataclasses.dataclass
+class Transfer:
+    """One request in progress.
+
+    :param request_id: id that the answer has to echo; empty for none.
+    :param expects_instance: the backend server may say that it is another.
+    """
+
+    request: http.HttpRequest
+    head: bytes
+    request_id: str
+    expects_instance: bool
+    future: concurrent.futures.Future
+    connection: object = None
+    cancelled: bool = False
+
+
+class _Answer:
+    """An answer that is being read."""
+
+    def __init__(self):
+        self.status = 0
+        self.headers = []
+        self.body = bytearray()
+        self.headers_complete = False
+
+    def header(self, name):
+        return http.find_header(self.headers, name)
+
+    def ends_with_connection(self):
+        """Say whether only the connection's end is the answer's end."""
+        if not self.headers_complete or self.status in _BODYLESS_STATUSES:
+            return False
+        length = self.header("content-length")
+        return length is None and self.header("transfer-encoding") is None
+
+
+class Connection(asyncio.Protocol):
+    """One connection; carries one request at a time."""
+
+    def __init__(self, client, address):
+        self.address = address
+        self.idle_since_s = 0.0
+        self.idle_max_s = IDLE_MAX_S
+        self.usable = True
+        self._client = client
+        self._transport = None
+        self._parser = httptools.HttpResponseParser(self)
+        self._transfer = None
+        self._answer = None
+        self._too_large = False
+
+    def connection_made(self, transport):
+        """Set the socket's options."""
+        self._transport = transport
+        sockets.prepare(transport)
+
+    def start(self, transfer):
+        """Write a request."""
+        transfer.connection = self
+        self._transfer = transfer
+        self._transport.write(transfer.head + transfer.request.body)
+
+    def abort(self):
+        """Close at once; the request in progress gets no result."""
+        self._transfer = None
+        self.usable = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def data_received(self, data):
+        """Parse the answer; bytes that nobody asked for end the use."""
+        if self._transfer is None:
+            self.abort()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._fail(codes.SHORT_ANSWER)
+        except httptools.HttpParserError:
+            self._spoiled()
+
+    def eof_received(self):
+        """Take the end of the connection for the end of the answer."""
+        self.usable = False
+        answer = self._answer
+        if self._transfer is None:
+            return
+        if answer is not None and answer.ends_with_connection():
+            self._complete()
+        else:
+            self._fail(codes.SHORT_ANSWER if answer else codes.BACKEND_FAILED)
+
+    def connection_lost(self, exc):
+        """Fail the request in progress."""
+        self.usable = False
+        self._client.forget(self)
+        if self._transfer is not None:
+            self._fail(
+                codes.SHORT_ANSWER if self._answer else codes.BACKEND_FAILED
+            )
+
+    # Callbacks of the parser.
+
+    def on_message_begin(self):
+        """Start an answer; one without a question is a fault."""
+        if self._transfer is None:
+            self.usable = False
+        self._answer = _Answer()
+
+    def on_header(self, name, value):
+        """Collect a header."""
+        self._answer.headers.append(
+            http.Header(
+                name.decode("latin-1").lower(), value.decode("latin-1").strip()
+            )
+        )
+
+    def on_headers_complete(self):
+        """Note the status and how long the connection may be kept."""
+        answer = self._answer
+        answer.status = self._parser.get_status_code()
+        answer.headers_complete = True
+        if not self._parser.should_keep_alive():
+            self.usable = False
+        self._note_idle_max(answer.header("keep-alive"))
+        transfer = self._transfer
+        if transfer is not None and transfer.request.method == "HEAD":
+            # The parser can't know that no body follows.
+            self.usable = False
+            self._complete()
+
+    def on_body(self, body):
+        """Collect a piece of the body."""
+        answer = self._answer
+        if self._transfer is None or self._too_large:
+            return
+        answer.body += body
+        if len(answer.body) > self._client.answer_bytes_max:
+            self._too_large = True
+            self._fail(codes.ANSWER_TOO_LARGE)
+
+    def on_message_complete(self):
+        """Hand on the answer, unless it is an interim or another's one."""
+        answer = self._answer
+        if answer is None or self._transfer is None:
+            return
+        if 100 <= answer.status < 200:
+            self._answer = None
+            return
+        self._complete()
+
+    def _complete(self):
+        transfer = self._transfer
+        answer = self._answer
+        self._answer = None
+        if not self._is_own(answer, transfer):
+            # The answer to an earlier request; the one to this is still due.
+            self.usable = False
+            if answer.ends_with_connection():
+                self._fail(codes.SHORT_ANSWER)
+            return
+        if self._transport.get_write_buffer_size():
+            # The rest of the body would be taken for another request.
+            self.usable = False
+        self._finish(self._judge(answer, transfer))
+
+    def _is_own(self, answer, transfer):
+        if not transfer.request_id:
+            return True
+        echoed = answer.header(self._client.names.request_id)
+        if echoed is None:
+            if answer.status < 300:
+                return False
+            self.usable = False
+            return True
+        return echoed == transfer.request_id
+
+    def _judge(self, answer, transfer):
+        if answer.header(self._client.names.not_run) is not None:
+            return BackendResult(None, codes.BACKEND_REFUSED)
+        if answer.status == WRONG_INSTANCE_STATUS:
+            if transfer.expects_instance:
+                return BackendResult(None, codes.WRONG_INSTANCE)
+        whole = http.HttpAnswer(
+            answer.status, answer.headers, bytes(answer.body)
+        )
+        return BackendResult(whole, codes.OK)
+
+    def _spoiled(self):
+        if self._transfer is None:
+            self.abort()
+            return
+        self._fail(codes.SHORT_ANSWER)
+
+    def _fail(self, code):
+        self.usable = False
+        self._finish(BackendResult(None, code))
+
+    def _finish(self, result):
+        transfer, self._transfer = self._transfer, None
+        self._answer = None
+        if self.usable and not self._transport.is_closing():
+            self._client.keep(self)
+        else:
+            self._transport.abort()
+        if transfer is not None and not transfer.cancelled:
+            transfer.future.set_result(result)
+
+    def _note_idle_max(self, text):
+        """Read how long an idle connection is kept at the other end."""
+        for part in (text or "").split(","):
+            name, _, value = part.strip().partition("=")
+            if name.lower() == "timeout" and value.isdigit():
+                timeout_s = float(value)
+                self.idle_max_s = max(timeout_s / 2, timeout_s - IDLE_MARGIN_S)
