Break off bytes of a backend server that never end

What callers would see: a node whose memory grows until it is killed, or that reads on for the whole time of a request, and longer for the health path, which has no deadline.

Cause: only the body of an answer was bounded. A status line, a header or its name, headers, trailers, chunk extensions, interim answers and answers to other requests were taken in for as long as they came.

Now all that is not body is bounded (64 KB, and 8 bytes of framing for each byte of body), and so is the number of answers that are passed over. Beyond it the connection is closed, the log says answer_broken_off, and the request may have run.

--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -1,4 +1,9 @@
-"""One connection to the VM's own backend server, and what comes on it."""
+"""One connection to the VM's own backend server, and what comes on it.
+
+A backend server may send bytes that are no answer, and may do so without end.
+What is not the body of the answer is bounded as well as the body; beyond the
+bounds the connection is closed.
+"""
 
 import asyncio
 import concurrent.futures
@@ -8,11 +13,20 @@
 
 from fescueyard.core import codes
 from fescueyard.core import http
+from fescueyard.core import logs
 from fescueyard.transport import sockets
 
+LOG = logs.PartLogger("backend")
+
 IDLE_MAX_S = 30.0
 IDLE_MARGIN_S = 1.0
 WRONG_INSTANCE_STATUS = 421
+# Bytes of an answer that are not its body: head, trailers, framing.
+OVERHEAD_BYTES_MAX = 64 * 1024
+# Framing of a body that comes in chunks of one byte.
+OVERHEAD_PER_BODY_BYTE_MAX = 8
+# Interim answers, and answers to other requests, before the one that is due.
+ANSWERS_SKIPPED_MAX = 16
 _BODYLESS_STATUSES = (204, 304)
 
 
@@ -79,6 +93,9 @@
         self._transfer = None
         self._answer = None
         self._too_large = False
+        self._overhead_bytes = 0
+        self._body_bytes = 0
+        self._skipped = 0
 
     def connection_made(self, transport):
         """Set the socket's options."""
@@ -89,6 +106,9 @@
         """Write a request."""
         transfer.connection = self
         self._transfer = transfer
+        self._overhead_bytes = 0
+        self._body_bytes = 0
+        self._skipped = 0
         self._transport.write(transfer.head + transfer.request.body)
 
     def abort(self):
@@ -103,12 +123,15 @@
         if self._transfer is None:
             self.abort()
             return
+        self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._fail(codes.SHORT_ANSWER)
         except httptools.HttpParserError:
             self._spoiled()
+        if self._transfer is not None:
+            self._check_overhead()
 
     def eof_received(self):
         """Take the end of the connection for the end of the answer."""
@@ -163,6 +186,8 @@
     def on_body(self, body):
         """Collect a piece of the body."""
         answer = self._answer
+        self._overhead_bytes -= len(body)
+        self._body_bytes += len(body)
         if self._transfer is None or self._too_large:
             return
         answer.body += body
@@ -177,6 +202,7 @@
             return
         if 100 <= answer.status < 200:
             self._answer = None
+            self._skip()
             return
         self._complete()
 
@@ -189,12 +215,38 @@
             self.usable = False
             if answer.ends_with_connection():
                 self._fail(codes.SHORT_ANSWER)
+            else:
+                self._skip()
             return
         if self._transport.get_write_buffer_size():
             # The rest of the body would be taken for another request.
             self.usable = False
         self._finish(self._judge(answer, transfer))
 
+    def _skip(self):
+        """Count an answer that was not the one due."""
+        self._skipped += 1
+        if self._skipped > ANSWERS_SKIPPED_MAX:
+            self._break_off(codes.SHORT_ANSWER)
+
+    def _check_overhead(self):
+        """Break off when too much came that is no body."""
+        allowed = OVERHEAD_PER_BODY_BYTE_MAX * self._body_bytes
+        if self._overhead_bytes > OVERHEAD_BYTES_MAX + allowed:
+            self._break_off(codes.ANSWER_TOO_LARGE)
+
+    def _break_off(self, code):
+        LOG.info(
+            "answer_broken_off",
+            address=self.address,
+            code=code.number,
+            request=self._transfer.request_id,
+            overhead_bytes=self._overhead_bytes,
+            body_bytes=self._body_bytes,
+            skipped=self._skipped,
+        )
+        self._fail(code)
+
     def _is_own(self, answer, transfer):
         if not transfer.request_id:
             return True
