Give back no token that was reported as spent

A call that is turned away at the door gives its token back. If its holder had reported meanwhile, the grantor counted the token as spent and could grant another one in its place.

Evidence: tests/limits/test_rate.py, test_token_reported_as_spent (5 tokens where the grantor knows of 4; failed before).

Now a token comes back only while its holder has fewer than it last reported.

--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -66,12 +66,20 @@
 def give_back(tables, event, now_ms):
     """Take back the token of a call that ended meanwhile.
 
+    A token that was reported as spent is gone: its grantor may have granted
+    another one in its place.
+
     :param tables: the node's tables.
     :param event: :class:`~fescueyard.limits.decisions.RateDecided`.
     :param now_ms: the present time.
     """
-    if event.code is codes.OK and _is_limited(tables, event.customer):
-        grantors.own_holding(tables, event.customer, now_ms).tokens += 1
+    if event.basis is decisions.Basis.UNLIMITED:
+        return
+    if event.code is not codes.OK:
+        return
+    holding = grantors.own_holding(tables, event.customer, now_ms)
+    if holdings.held(holding) < holding.reported_held:
+        holding.tokens += 1
 
 
 def tick(tables, now_ms):
--- a/tests/limits/test_rate.py
+++ b/tests/limits/test_rate.py
@@ -6,9 +6,12 @@
 from fescueyard.configuration import state as states
 from fescueyard.core import codes
 from fescueyard.core import dispatch
+from fescueyard.limits import decisions
 from fescueyard.limits import fleet
+from fescueyard.limits import grantors
 from fescueyard.limits import messages
 from fescueyard.limits import models as limit_models
+from fescueyard.limits import systems as limits
 from tests.limits import faults
 from tests import setups
 
@@ -241,3 +244,33 @@
         granted += answer.grants[0].granted
     # One token a second came; the burst may be with the old holders.
     assert granted <= 2
+
+
+def _granted(tokens, now_ms):
+    """Make a holding whose grantor knows of so many tokens."""
+    return limit_models.Holding(
+        tokens=tokens, expires_at_ms=now_ms + 1_000, reported_held=tokens
+    )
+
+
+def test_token_reported_as_spent_does_not_come_back(meter):
+    world = _fleet(meter)
+    tables = world.nodes[_one(world)].tables
+    holding = _granted(5, world.now_ms)
+    grantor_id = grantors.grantor_of(tables, "board", world.now_ms)
+    if grantor_id == tables.members.own.node_id:
+        tables.limits.pools["board"] = holding
+    else:
+        tables.limits.holdings["board"] = holding
+    decided = decisions.RateDecided(
+        1, "board", codes.OK, decisions.Basis.GRANTED
+    )
+    # Spent, and not reported yet: it is still counted as held.
+    holding.tokens = 4
+    limits.give_back(tables, decided, world.now_ms)
+    assert holding.tokens == 5
+    # Spent and reported: its grantor counts it as gone.
+    holding.tokens = 4
+    holding.reported_held = 4
+    limits.give_back(tables, decided, world.now_ms)
+    assert holding.tokens == 4
