An idle grantor of a zone does not pass for a cut-off one

Found reading the diff: a zone's grantor told its nodes that it lives on its own part whenever it had not asked the fleet's grantor for 0.7 s. One without any promise, as in the product's default profile, does not ask while it is idle.

What callers would see: after a pause, a burst beyond what the rate yields while a call may wait was refused with 2209 in place of waiting for the answer.

Evidence: tests/limits/test_standing.py, test_idle_grantor (both profiles, failed before). Now it says so only while it has a part that it may grant.

--- a/fescueyard/limits/standing.py
+++ b/fescueyard/limits/standing.py
@@ -104,6 +104,19 @@
     return now_ms - tables.limits.promise.fed_at_ms
 
 
+def lives_on_own_parts(tables, now_ms):
+    """Say whether this node grants from own parts, if it has any tokens.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    promise = tables.limits.promise
+    return any(
+        grants_own_part(tables, shard, now_ms) for shard in promise.shares
+    )
+
+
 def grants_own_part(tables, shard, now_ms):
     """Say whether this node grants from its zone's own part now.
 
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -125,14 +125,13 @@
     grants = []
     for wish in message.wishes:
         grants.append(_grant(tables, message, wish, now_ms))
-    silent_ms = standing.silent_ms(tables, now_ms)
     answer = messages.TokenAnswer(
         message.question_id,
         False,
         True,
         grants,
-        silent_ms=silent_ms,
-        own_part=silent_ms >= standing.SILENT_MS,
+        silent_ms=standing.silent_ms(tables, now_ms),
+        own_part=standing.lives_on_own_parts(tables, now_ms),
     )
     tables.effects.append(effects.SendReply(sender.stream, answer))
     if any(pool.wanted for pool in tables.limits.pools.values()):
@@ -306,7 +305,7 @@
         return
     for customer in table.waiting:
         _mint(tables, customer, now_ms)
-    if standing.silent_ms(tables, now_ms) >= standing.SILENT_MS:
+    if standing.lives_on_own_parts(tables, now_ms):
         _serve_waiting(tables, now_ms)
 
 
--- a/tests/limits/test_standing.py
+++ b/tests/limits/test_standing.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from fescueyard.core import dispatch
+from fescueyard.core import effects
 from fescueyard.limits import grantors
 from fescueyard.limits import messages
 from fescueyard.limits import models
@@ -269,3 +271,23 @@
     assert unheard[1] == 1.0
     later_ms = now_ms + parts.PROMISE_MS
     assert not parts.unheard_shares(table, leader.members, 1.0, later_ms)
+
+
+@pytest.mark.parametrize("share", [0.0, 1.0])
+def test_idle_grantor_does_not_pass_for_a_cut_off_one(share):
+    world = _world(0, share)
+    tables = world.nodes["orders-zone-a"].tables
+    tables.limits.promise = models.Promise()
+    ask = messages.TokenAsk(
+        1, "other", False, [messages.TokenWish("board", 0, 0, 1, 0)]
+    )
+    tables.effects.clear()
+    dispatch.receive(
+        ask, tables, dispatch.Sender("other", "stream"), world.now_ms
+    )
+    answers = [
+        effect.message
+        for effect in tables.effects
+        if isinstance(effect, effects.SendReply)
+    ]
+    assert [row.own_part for row in answers] == [False]
