Stop warm backend servers from being gossiped without end

Cause: the end of a slow start was compared with the one known before. The report 0 of a warm server moved it by the time between two announcements, so each announcement published a new incarnation and the whole fleet passed it on. An end that has passed now counts as the present, and an entry that already has the values asked for isn't published again.

--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -182,9 +182,13 @@
 
 
 def _update_cold_until(tables, cold_ms, now_ms):
-    """Set the end of the slow start; publish it if it is much later."""
+    """Set the end of the slow start; publish it if it is much later.
+
+    An end that has passed counts as the present, so the announcements of a
+    warm backend server publish nothing.
+    """
     backend = tables.runs.backend
-    known_ms = backend.cold_until_ms or now_ms
+    known_ms = max(backend.cold_until_ms or now_ms, now_ms)
     backend.cold_until_ms = now_ms + cold_ms
     if backend.cold_until_ms - known_ms > COLD_CHANGE_MIN_MS:
         _publish_backend(tables, now_ms)
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -59,15 +59,22 @@
 def update_own_member(tables, now_ms, **fields):
     """Change this process's own member entry and gossip the change.
 
+    Nothing is sent when the entry already has these values.
+
     :param tables: the process's tables.
     :param now_ms: the present time.
     :param fields: fields of the entry that change.
     """
-    table = tables.members
-    incarnation = table.own.incarnation + 1
-    own = dataclasses.replace(table.own, incarnation=incarnation, **fields)
+    own = dataclasses.replace(tables.members.own, **fields)
+    if own != tables.members.own:
+        _publish_own(tables, own, now_ms)
+
+
+def _publish_own(tables, own, now_ms):
+    """Gossip this process's own entry under a new incarnation."""
+    own = dataclasses.replace(own, incarnation=own.incarnation + 1)
     _apply_update(tables, own, now_ms)
-    table.gossip_due_ms = now_ms
+    tables.members.gossip_due_ms = now_ms
 
 
 def tick(tables, now_ms):
@@ -230,10 +237,8 @@
         return
     if member == own:
         return
-    tables.members.own = dataclasses.replace(
-        own, incarnation=member.incarnation
-    )
-    update_own_member(tables, now_ms)
+    own = dataclasses.replace(own, incarnation=member.incarnation)
+    _publish_own(tables, own, now_ms)
 
 
 def _apply_update(tables, member, now_ms):
--- a/tests/world.py
+++ b/tests/world.py
@@ -5,6 +5,7 @@
 identical.
 """
 
+import collections
 import dataclasses
 import functools
 import heapq
@@ -12,6 +13,7 @@
 import random
 import urllib.parse
 
+from fescueyard.admission import announcements
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import state as states
 from fescueyard.control import systems as control_systems
@@ -102,7 +104,9 @@
     so does ``knee_slowdown`` while at least ``knee_share`` of the slots are in
     use. ``jitter`` is the largest random deviation of the processing time, as
     a share of it. ``attempts_max`` is the maximum number of attempts of a
-    downstream call that fails with a status of 500 or above.
+    downstream call that fails with a status of 500 or above. ``cold_ms`` is
+    the remaining time of its slow start, which only a server that announces
+    itself with an id reports; None announces it without one.
     """
 
     def __init__(self, service, slots, service_ms=5.0):
@@ -115,6 +119,8 @@
         self.attempts_max = 1
         self.jitter = 0.0
         self.announces = True
+        self.cold_ms = None
+        self.sequence = 0
         self.up = True
         self.running = 0
         self.waiting = []
@@ -157,6 +163,7 @@
         self.dead = set()
         self.datagram_loss = 0.0
         self.bytes_sent = {}
+        self.messages_sent = collections.Counter()
         self.cluster = harness.Cluster(controls, seed)
         self.cluster.run(3_000)
         self._zones = {
@@ -414,20 +421,37 @@
             return
         backend = node.backend
         if backend.up and backend.announces:
-            self._run_on(
-                node,
-                lambda: admission.register_backend(
-                    node.tables,
-                    backend.service,
-                    "127.0.0.1:1",
-                    backend.slots,
-                    BACKEND_TTL_MS,
-                    self.now_ms,
-                ),
-            )
+            self._run_on(node, lambda: self._receive_announcement(node))
             self._settle(node)
         self._schedule(BACKEND_TTL_MS / 3, lambda: self._announce(node))
 
+    def _receive_announcement(self, node):
+        backend = node.backend
+        if backend.cold_ms is None:
+            admission.register_backend(
+                node.tables,
+                backend.service,
+                "127.0.0.1:1",
+                backend.slots,
+                BACKEND_TTL_MS,
+                self.now_ms,
+            )
+            return
+        backend.sequence += 1
+        announcement = announcements.Announcement(
+            f"i-{node.name}",
+            backend.service,
+            "127.0.0.1:1",
+            backend.slots,
+            1,
+            backend.sequence,
+            False,
+            backend.cold_ms,
+        )
+        admission.apply_announcement(
+            node.tables, announcement, BACKEND_TTL_MS, self.now_ms
+        )
+
     def _start_run(self, node, effect):
         backend = node.backend
         if backend is None or not backend.up:
@@ -612,7 +636,7 @@
             stream.stalled.append(message)
             return
         payload = wire.encode(message)
-        self._count_bytes(stream.owner, len(payload) + 20)
+        self._count_sent(stream.owner, message, len(payload) + 20)
         delay_ms = self._delay_ms(stream.owner, stream.peer_name)
         at_ms = max(self.now_ms + delay_ms, stream.last_arrival_ms)
         stream.last_arrival_ms = at_ms
@@ -677,7 +701,7 @@
     def _send_datagram(self, source, address, message):
         target = address.partition(":")[0]
         payload = wire.encode(message)
-        self._count_bytes(source, len(payload) + 44)
+        self._count_sent(source, message, len(payload) + 44)
         if self._is_partitioned(source, target) or (
             self.random.random() < self.datagram_loss
         ):
@@ -705,8 +729,9 @@
             return
         self._settle(node)
 
-    def _count_bytes(self, source, count):
+    def _count_sent(self, source, message, count):
         self.bytes_sent[source] = self.bytes_sent.get(source, 0) + count
+        self.messages_sent[type(message)] += 1
 
     def _is_up(self, target):
         return target in self.nodes or target in self.cluster.tables
