--- a/demo/backend.py
+++ b/demo/backend.py
@@ -84,6 +84,10 @@
         """Forget a request whose caller disconnected."""
         self._connections.pop(exchange_id, None)
 
+    def may_overlap(self, request):
+        """Return False; requests of one connection run one at a time."""
+        return False
+
     def _call_downstream(self, exchange_id, request, split):
         target = split.path[len("/call") :]
         if split.query:
@@ -115,7 +119,8 @@
     def _respond(self, exchange_id, status, body):
         connection = self._connections.pop(exchange_id, None)
         if connection is not None:
-            connection.respond(http.HttpResponse(status, [], body))
+            response = http.HttpResponse(status, [], body)
+            connection.respond(exchange_id, response)
 
     def _log_run(self, request):
         record = {
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -222,6 +222,10 @@
         self._connections.pop(exchange_id, None)
         self._commands.pop(exchange_id, None)
 
+    def may_overlap(self, request):
+        """Return whether an operator's request changes nothing."""
+        return request.method == "GET"
+
     def _metrics_response(self, request, now_ms):
         return core_exposition.metrics_response(
             exposition.samples(self._tables, now_ms)
@@ -246,7 +250,7 @@
         connection = self._connections.pop(exchange_id, None)
         self._commands.pop(exchange_id, None)
         if connection is not None:
-            connection.respond(response)
+            connection.respond(exchange_id, response)
 
     def _local_read_response(self, command, now_ms):
         tables = self._tables
--- a/fescueyard/keys/systems.py
+++ b/fescueyard/keys/systems.py
@@ -110,7 +110,7 @@
             "a key belongs in the Authorization header only"
         )
     headers = []
-    dropped = reserved_names | _connection_names(request)
+    dropped = reserved_names | _connection_names(request.headers)
     for header in request.headers:
         if _may_forward(header) and header.name not in dropped:
             headers.append(header)
@@ -123,7 +123,12 @@
     :param headers: headers of the backend server's response.
     :returns: list of the other headers.
     """
-    return [header for header in headers if _may_forward(header)]
+    dropped = _connection_names(headers)
+    return [
+        header
+        for header in headers
+        if _may_forward(header) and header.name not in dropped
+    ]
 
 
 def _is_open_route(service, path):
@@ -138,12 +143,14 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
-def _connection_names(request):
-    """Return the names of headers that the Connection header lists."""
-    text = request.header("connection")
-    if text is None:
-        return frozenset()
-    return frozenset(name.strip().lower() for name in text.split(","))
+def _connection_names(headers):
+    """Return the names of headers that the Connection headers list."""
+    return {
+        name.strip().lower()
+        for header in headers
+        if header.name == "connection"
+        for name in header.value.split(",")
+    }
 
 
 def _may_forward(header):
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -22,6 +22,7 @@
 from fescueyard.core import logs
 from fescueyard.core import problems
 from fescueyard.ingress import interface as ingress_interface
+from fescueyard.ingress import overlap
 from fescueyard.ingress import systems as ingress
 from fescueyard.node import backend_api
 from fescueyard.node import exposition
@@ -64,6 +65,10 @@
         """Report to the node that a caller has disconnected."""
         self._node.caller_left(exchange_id)
 
+    def may_overlap(self, request):
+        """Return whether a request may run beside others of its caller."""
+        return self._node.may_overlap(request)
+
 
 class NodeProcess:
     """The process that serves one backend server on its VM.
@@ -244,6 +249,10 @@
         ingress.caller_left(self._tables, exchange_id, now_ms)
         self._process_pending(now_ms)
 
+    def may_overlap(self, request):
+        """Return whether a request may run beside others of its caller."""
+        return overlap.may_overlap(self._tables, request)
+
     def apply_announcement(self, announcement, now_ms):
         """Apply an announcement of the backend server.
 
@@ -357,7 +366,7 @@
     def _send_response(self, exchange_id, response):
         connection = self._connections.pop(exchange_id, None)
         if connection is not None:
-            connection.respond(response)
+            connection.respond(exchange_id, response)
 
     def _tick(self):
         now_ms = clock.now_ms()
@@ -429,6 +438,7 @@
         limits.body_bytes_max = min(
             listener.body_bytes_max, self.settings.body_bytes_max
         )
+        limits.header_timeout_s = listener.header_timeout_ms / 1000
         limits.idle_timeout_s = listener.idle_timeout_ms / 1000
 
     def _process_pending(self, now_ms):
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -44,6 +44,7 @@
         self._loop = asyncio.get_running_loop()
         self._idle = {}
         self._open = set()
+        self._opening = 0
         self._tasks = set()
 
     def fetch(self, base_url, request, idempotent):
@@ -154,10 +155,14 @@
         return connection
 
     async def _connect(self, address, transfer):
-        if len(self._open) >= self._connections_max:
+        if len(self._open) + self._opening >= self._connections_max:
             self._fail_unsent(transfer)
             return
-        connection = await self._open_connection(address)
+        self._opening += 1
+        try:
+            connection = await self._open_connection(address)
+        finally:
+            self._opening -= 1
         if connection is None:
             self._fail_unsent(transfer)
             return
--- a/tests/keys/test_keys.py
+++ b/tests/keys/test_keys.py
@@ -5,6 +5,8 @@
 from fescueyard.configuration import models
 from fescueyard.core import codes
 from fescueyard.core import dumps
+from fescueyard.core import http
+from fescueyard.keys import systems as keys
 from tests import setups
 
 REFUSED_WITHIN_MS = 4_000
@@ -143,6 +145,21 @@
         assert KEY.encode() not in run.request.body
 
 
+def test_headers_that_any_connection_header_lists_are_not_forwarded():
+    headers = [
+        http.Header("connection", "keep-alive, X-First"),
+        http.Header("x-first", "1"),
+        http.Header("x-second", "2"),
+        http.Header("x-third", "3"),
+        http.Header("connection", "x-second"),
+    ]
+    request = http.HttpRequest("GET", "/orders/work", headers, b"")
+    cleaned = keys.sanitize_request(request, "/work")
+    assert [header.name for header in cleaned.headers] == ["x-third"]
+    returned = keys.sanitize_response_headers(headers)
+    assert [header.name for header in returned] == ["x-third"]
+
+
 def test_dump_shows_no_key_and_no_hash():
     world = setups.start_fleet()
     _call_all(world)
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -103,6 +103,22 @@
     assert asyncio.run(run()).code is codes.CONNECT_FAILED
 
 
+def test_connections_being_opened_count_against_the_limit():
+    async def run():
+        server = RawServer([RESPONSE])
+        url = await server.start()
+        client = backend_client.BackendClient(3, 1_000)
+        futures = [client.fetch(url, REQUEST, False) for _ in range(8)]
+        await asyncio.sleep(0.5)
+        server.stop()
+        return [future.result().code for future in futures], client
+
+    result_codes, client = asyncio.run(run())
+    assert client.connections_opened == 3
+    assert result_codes.count(codes.OK) == 3
+    assert result_codes.count(codes.CONNECT_FAILED) == 5
+
+
 @pytest.mark.parametrize("length", [1_001, 100_000])
 def test_response_over_the_size_limit_is_rejected(length):
     response = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % length
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -5,6 +5,8 @@
 import pytest
 
 from fescueyard.core import http
+from fescueyard.transport import http_parsing
+from fescueyard.transport import http_responses
 from fescueyard.transport import http_server
 from fescueyard.transport import streams
 
@@ -24,12 +26,17 @@
     def request_received(self, exchange_id, request, connection):
         """Record a request and respond to it."""
         self.requests.append(request)
-        connection.respond(http.HttpResponse(200, [], request.body))
+        response = http.HttpResponse(200, [], request.body)
+        connection.respond(exchange_id, response)
 
     def caller_left(self, exchange_id):
         """Record that a caller disconnected."""
         self.left.append(exchange_id)
 
+    def may_overlap(self, request):
+        """Return whether a request may run beside others."""
+        return True
+
 
 async def _serve(handler, exchange):
     server = http_server.HttpServer(handler, 1_000)
@@ -77,8 +84,9 @@
 
 @pytest.mark.parametrize("sent_bytes", [b"", REQUEST[:30], REQUEST[:-1]])
 def test_silent_caller_is_disconnected(monkeypatch, sent_bytes):
-    monkeypatch.setattr(http_server, "IDLE_TIMEOUT_S", 0.1)
-    monkeypatch.setattr(http_server, "REQUEST_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(http_parsing, "IDLE_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(http_parsing, "HEADER_TIMEOUT_S", 0.1)
+    monkeypatch.setattr(http_parsing, "REQUEST_TIMEOUT_S", 0.1)
     monkeypatch.setattr(http_server, "SWEEP_INTERVAL_S", 0.02)
 
     async def exchange(reader, writer):
@@ -90,7 +98,7 @@
 
 def test_response_to_head_has_no_body():
     response = http.HttpResponse(200, [], b"abc")
-    serialised = http_server.serialise(
+    serialised = http_responses.serialise(
         response, keep_alive=True, head_only=True
     )
     assert serialised.endswith(b"\r\n\r\n")
