Avoid backend servers that are slow or fail more than their service

Placement saw only requests in flight.

The server's own node reports the recent latency and share of failures with each response; others weigh the load by the difference from the median of the service. A report counts half after 3 s, so that the server is tried again; a server that fails like all others is not avoided.

Fields at the end of a message may now be missing or unknown, so that later builds can add some.

--- a/fescueyard/admission/messages.py
+++ b/fescueyard/admission/messages.py
@@ -79,6 +79,9 @@
     :param pressure: share of the load that it, or a service downstream of
         it, can't serve.
     :param bottleneck: the service without capacity; empty for none.
+    :param latency_ms: recent latency of runs of this priority there; 0 when
+        not known.
+    :param failure_share: share of the recent runs there that failed.
     """
 
     attempt_id: int
@@ -92,6 +95,8 @@
     limit: int
     pressure: float = 0.0
     bottleneck: str = ""
+    latency_ms: float = 0.0
+    failure_share: float = 0.0
 
 
 @wire.message(62)
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -4,6 +4,7 @@
 
 from fescueyard.admission import concurrency_share
 from fescueyard.admission import messages
+from fescueyard.admission import outcomes
 from fescueyard.core import dumps
 
 
@@ -133,6 +134,7 @@
     :param awaiting_probe: requests whose runs were interrupted, until a probe
         shows whether the backend server has crashed.
     :param closed: whether the node is stopping and accepts no more runs.
+    :param outcome_counts: recent runs and failures of the backend server.
     """
 
     rows: dict[int, Run] = dataclasses.field(default_factory=dict)
@@ -150,6 +152,9 @@
     )
     last_run_id: int = 0
     closed: bool = False
+    outcome_counts: outcomes.OutcomeCounts = dataclasses.field(
+        default_factory=outcomes.OutcomeCounts
+    )
     backend: Backend | None = None
     limiter: ConcurrencyLimiter = dataclasses.field(
         default_factory=ConcurrencyLimiter
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -13,6 +13,7 @@
 from fescueyard.admission import limiter
 from fescueyard.admission import messages
 from fescueyard.admission import models
+from fescueyard.admission import outcomes
 from fescueyard.admission import queueing
 from fescueyard.admission import run_headers
 from fescueyard.configuration import models as configuration_models
@@ -43,6 +44,15 @@
 # its deadline.
 REMAINING_TIME_SHARE_MIN = 0.5
 SERVER_ERROR_STATUS_MIN = 500
+# Result codes of runs whose response the backend server spoiled or lost.
+SERVER_FAILURE_CODES = frozenset(
+    {
+        codes.ANSWER_TOO_LARGE,
+        codes.BACKEND_FAILED,
+        codes.CONNECT_FAILED,
+        codes.SHORT_ANSWER,
+    }
+)
 
 
 @dataclasses.dataclass(slots=True)
@@ -104,6 +114,7 @@
         backend.expires_at_ms = expires_at_ms
     else:
         limiter.reset(table.limiter, slots)
+        table.outcome_counts = outcomes.OutcomeCounts()
         table.backend = models.Backend(
             service, address, slots, expires_at_ms, False
         )
@@ -323,11 +334,20 @@
             run.forward.priority,
             now_ms - run.started_at_ms,
         )
+    _record_outcome(table, response, code, now_ms)
     _record_completion(tables, run, now_ms)
     _complete_run(tables, run, code, response, 0.0, now_ms, crash_id)
     _start_eligible_runs(tables, now_ms)
 
 
+def _record_outcome(table, response, code, now_ms):
+    """Count a run of the backend server, unless the server refused it."""
+    if response is not None or code in SERVER_FAILURE_CODES:
+        outcomes.record(
+            table.outcome_counts, not _is_success(response), now_ms
+        )
+
+
 def _is_success(response):
     return response is not None and response.status < SERVER_ERROR_STATUS_MIN
 
@@ -693,6 +713,8 @@
         int(table.limiter.limit),
         pressure.share,
         pressure.bottleneck,
+        table.limiter.latency_by_priority_ms.get(run.forward.priority, 0.0),
+        outcomes.failure_share(table.outcome_counts, now_ms),
     )
     if run.stream is None:
         tables.events.append(LocalResponse(forward_response))
--- a/fescueyard/core/wire.py
+++ b/fescueyard/core/wire.py
@@ -110,12 +110,13 @@
 
 def _build(cls, values, depth):
     fields = _all_fields(cls)
-    if not isinstance(values, list) or len(values) != len(fields):
+    if not isinstance(values, list) or len(values) < _required_count(cls):
         raise _frame_error(f"{cls.__name__}: wrong number of fields")
     if depth > _DEPTH_MAX:
         raise _frame_error(f"{cls.__name__}: nested too deeply")
-    for position, field in enumerate(fields):
-        value = values[position]
+    # A process of another build may know fewer or more fields at the end.
+    values = values[: len(fields)]
+    for position, (field, value) in enumerate(zip(fields, values)):
         if field.nested_class and value is not None:
             values[position] = _build(field.nested_class, value, depth + 1)
         elif field.types and not isinstance(value, field.types):
@@ -155,6 +156,16 @@
     return _describe(cls)
 
 
+@functools.cache
+def _required_count(cls):
+    """Return the number of leading fields without a default."""
+    return sum(
+        field.default is dataclasses.MISSING
+        and field.default_factory is dataclasses.MISSING
+        for field in dataclasses.fields(cls)
+    )
+
+
 def _describe(cls):
     hints = typing.get_type_hints(cls)
     fields = []
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -31,6 +31,8 @@
 from fescueyard.retries import systems as retries
 from fescueyard.routing import balancer
 from fescueyard.routing import membership
+from fescueyard.routing import models as routing_models
+from fescueyard.routing import outliers
 
 LOG = logs.ComponentLogger("ingress")
 
@@ -417,6 +419,17 @@
     balancer.record_load(
         tables, node_id, forward_response.load, forward_response.limit, now_ms
     )
+    outliers.record_report(
+        tables.members,
+        node_id,
+        routing_models.QualityReport(
+            call.service,
+            call.priority,
+            forward_response.latency_ms,
+            forward_response.failure_share,
+        ),
+        now_ms,
+    )
     LOG.decision(
         "attempt_answered",
         call=attempt.call_id,
@@ -425,6 +438,8 @@
         code=forward_response.code,
         load=forward_response.load,
         limit=forward_response.limit,
+        latency_ms=round(forward_response.latency_ms),
+        failure_share=round(forward_response.failure_share, 3),
         took_ms=round(now_ms - attempt.started_at_ms),
     )
     if forward_response.code in (
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -3,12 +3,15 @@
 Of two candidates drawn at random the less loaded one is chosen (power of two
 choices). Load is the value reported with the candidate's last response,
 decayed by its age, or the number of this node's outstanding attempts if that
-is larger. The node's own zone is preferred unless its load per slot is higher
+is larger. A server that is slower or fails more than others of its service
+counts as more loaded (:mod:`fescueyard.routing.outliers`). The node's own
+zone is preferred unless its load per slot is higher
 by more than :data:`CROSS_ZONE_PENALTY`.
 """
 
 from fescueyard.core import effects
 from fescueyard.routing import models
+from fescueyard.routing import outliers
 
 LOAD_HALF_LIFE_MS = 200
 # Half-life of the weight of a backend server's last reported load; the rest of
@@ -243,7 +246,7 @@
         _estimated_load(table, member, target, now_ms), target.outstanding
     )
     capacity *= _slow_start_share(target, slow_start_ms, now_ms)
-    return (load + 1) / capacity
+    return outliers.weigh(target, (load + 1) / capacity, now_ms)
 
 
 def _slow_start_share(target, slow_start_ms, now_ms):
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -48,6 +48,38 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class QualityReport:
+    """What a response reported about the recent runs of a backend server.
+
+    :param service: its service.
+    :param priority: priority of the runs that the latency is of.
+    :param latency_ms: their recent latency; 0 when there were none.
+    :param failure_share: share of its recent runs that failed.
+    """
+
+    service: str
+    priority: int
+    latency_ms: float
+    failure_share: float
+
+
+@dataclasses.dataclass(slots=True)
+class ClassQuality:
+    """Reports of the backend servers of a service for runs of one priority.
+
+    :param reports: the latest one of each server, by node id.
+    :param latency_ms: median of their latencies; 0 before the first report.
+    :param failure_share: median of their shares of failed runs.
+    :param medians_at_ms: when the medians were calculated.
+    """
+
+    reports: dict[str, QualityReport] = dataclasses.field(default_factory=dict)
+    latency_ms: float = 0.0
+    failure_share: float = 0.0
+    medians_at_ms: float = float("-inf")
+
+
 @dataclasses.dataclass(slots=True)
 class TargetState:
     """Load and health of a backend server as seen by this node.
@@ -67,6 +99,10 @@
         it broke or could not be opened.
     :param redial_due_ms: when it is next dialled while unreachable.
     :param ejections: consecutive ejections without a success in between.
+    :param slowness: ratio of its reported latency to its service's median.
+    :param excess_failures: share of its runs that failed, as reported, above
+        what is ordinary in its service.
+    :param quality_at_ms: time of that report.
     """
 
     accepting_since_ms: float = dataclasses.field(
@@ -83,6 +119,9 @@
     refusing_until_ms: float = float("-inf")
     unreachable_until_ms: float = float("-inf")
     redial_due_ms: float = 0.0
+    slowness: float = 1.0
+    excess_failures: float = 0.0
+    quality_at_ms: float = float("-inf")
 
 
 @dataclasses.dataclass
@@ -101,6 +140,8 @@
     :param started_at_ms: time of the first tick; None before it.
     :param utilization_by_service: moving average of the share of slots in
         use, by service.
+    :param quality: what the servers of a service reported, by service and
+        priority.
     :param decays_to_average: an old reported load decays towards the
         service's average utilization instead of zero.
     :param nodes_alive: nodes that are alive or suspect, this one included.
@@ -130,6 +171,9 @@
     utilization_by_service: dict[str, float] = dataclasses.field(
         default_factory=dict, metadata=dumps.written_as("use_of_service")
     )
+    quality: dict[tuple[str, int], ClassQuality] = dataclasses.field(
+        default_factory=dict
+    )
     decays_to_average: bool = dataclasses.field(
         default=False, metadata=dumps.written_as("keeps_use")
     )
--- /dev/null
+++ b/fescueyard/routing/outliers.py
@@ -0,0 +1,95 @@
+"""Backend servers that are slower or fail more than others of their service.
+
+Load pattern: one server of a service answers several times slower than the
+others, or spoils part of its responses, while its health check is good and
+its number of requests in flight looks ordinary. Its own node sees every run,
+so each response carries the recent latency and share of failures there, and
+all nodes learn of it within a few requests of the fleet together. Only the
+difference from the median of the service counts: when all servers are slow or
+fail alike, the cause lies further down the chain and no server is avoided.
+"""
+
+import statistics
+
+from fescueyard.routing import models
+
+# Interval at which the medians of a service with many servers are calculated
+# again; with few servers each response may move them.
+MEDIANS_INTERVAL_MS = 100
+FEW_SERVERS_MAX = 8
+# Half-life of what a server last reported, so that it is tried again.
+REPORT_HALF_LIFE_MS = 3_000
+SLOWNESS_MIN = 0.5
+SLOWNESS_MAX = 8.0
+# Shares of failures up to these, added together, can't be told from chance.
+FAILURE_TOLERANCE = 0.03
+FAILURE_TOLERANCE_PER_MEDIAN = 2.0
+# Load per slot that a server may carry more than others before work goes to
+# one that fails this share of it in addition.
+LOAD_PER_FAILURE_SHARE = 5.0
+
+
+def record_report(table, node_id, report, now_ms):
+    """Record the latency and the failures that a response reported.
+
+    :param table: :class:`~fescueyard.routing.models.MemberTable`.
+    :param node_id: node of the backend server.
+    :param report: :class:`~fescueyard.routing.models.QualityReport`.
+    :param now_ms: the present time.
+    """
+    target = table.targets.get(node_id)
+    if target is None:
+        return
+    quality = table.quality.setdefault(
+        (report.service, report.priority), models.ClassQuality()
+    )
+    quality.reports[node_id] = report
+    if (
+        len(quality.reports) <= FEW_SERVERS_MAX
+        or now_ms - quality.medians_at_ms >= MEDIANS_INTERVAL_MS
+    ):
+        _update_medians(table, quality, report.service, now_ms)
+    target.quality_at_ms = now_ms
+    tolerated_share = (
+        FAILURE_TOLERANCE
+        + FAILURE_TOLERANCE_PER_MEDIAN * quality.failure_share
+    )
+    target.excess_failures = max(0.0, report.failure_share - tolerated_share)
+    if report.latency_ms and quality.latency_ms:
+        slowness = report.latency_ms / quality.latency_ms
+        target.slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
+
+
+def weigh(target, load_per_slot, now_ms):
+    """Return the load of a server as an ordinary one of its service has it.
+
+    :param target: :class:`~fescueyard.routing.models.TargetState`.
+    :param load_per_slot: its requests in flight, per slot.
+    :param now_ms: the present time.
+    :returns: a load per slot that can be compared between servers.
+    """
+    age_ms = now_ms - target.quality_at_ms
+    weight = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
+    slowness = 1.0 + weight * (target.slowness - 1.0)
+    failures = weight * target.excess_failures
+    return load_per_slot * slowness + LOAD_PER_FAILURE_SHARE * failures
+
+
+def _update_medians(table, quality, service, now_ms):
+    """Calculate the medians over the servers that are still in use."""
+    quality.medians_at_ms = now_ms
+    in_use = table.by_service.get(service, {})
+    quality.reports = {
+        node_id: report
+        for node_id, report in quality.reports.items()
+        if node_id in in_use
+    }
+    if not quality.reports:
+        return
+    reports = quality.reports.values()
+    quality.failure_share = statistics.median_low(
+        report.failure_share for report in reports
+    )
+    quality.latency_ms = statistics.median_low(
+        report.latency_ms for report in reports
+    )
--- a/tests/admission/test_concurrency_share.py
+++ b/tests/admission/test_concurrency_share.py
@@ -143,7 +143,9 @@
 
 
 def test_failed_runs_are_not_sampled():
-    world = setups.start_routed_fleet(slots=1, concurrency_share_min=1.0)
+    world = setups.start_routed_fleet(
+        zones=("zone-a",), slots=1, concurrency_share_min=1.0
+    )
     node = world.nodes["orders-zone-a"]
     search = node.tables.runs.limiter.share_search
     setups.put_route(world, "a", "orders")
--- a/tests/control/test_replacement.py
+++ b/tests/control/test_replacement.py
@@ -33,6 +33,7 @@
         self.cluster = harness.Cluster(voters, seed, POLICY, voters)
         self.cluster.run(3_000)
         self.change_number = 0
+        self.replacement_number = 0
         self.removed_disks = {}
 
     @stateful.rule(duration_ms=strategies.integers(20, 4_000))
@@ -67,8 +68,8 @@
         if not self._may_lose_disk(member_id):
             return
         self.removed_disks[member_id] = self.cluster.disks[member_id]
-        new_id = f"n{len(self.removed_disks)}"
-        self.cluster.lose_disk(member_id, new_id)
+        self.replacement_number += 1
+        self.cluster.lose_disk(member_id, f"n{self.replacement_number}")
 
     @stateful.rule(pick=PICKS)
     def bring_back(self, pick):
--- a/tests/world.py
+++ b/tests/world.py
@@ -103,8 +103,9 @@
     Tests set further attributes. ``slowdown`` multiplies the processing time;
     so does ``knee_slowdown`` while at least ``knee_share`` of the slots are in
     use. ``jitter`` is the largest random deviation of the processing time, as
-    a share of it. ``attempts_max`` is the maximum number of attempts of a
-    downstream call that fails with a status of 500 or above. ``cold_ms`` is
+    a share of it. ``spoiled_share`` is the share of its responses that it
+    spoils after the run. ``attempts_max`` is the maximum number of attempts of
+    a downstream call that fails with a status of 500 or above. ``cold_ms`` is
     the remaining time of its slow start, which only a server that announces
     itself with an id reports; None announces it without one.
     """
@@ -117,6 +118,7 @@
         self.knee_share = 1.0
         self.knee_slowdown = 1.0
         self.attempts_max = 1
+        self.spoiled_share = 0.0
         self.jitter = 0.0
         self.announces = True
         self.cold_ms = None
@@ -549,6 +551,10 @@
         run.ended_at_ms = self.now_ms
         del node.runs[run_id]
         self._free_slot(node)
+        spoiled_share = node.backend.spoiled_share
+        if spoiled_share and self.random.random() < spoiled_share:
+            self._report_run_end(node, run_id, None, codes.SHORT_ANSWER)
+            return
         self._report_run_end(node, run_id, response, codes.OK)
 
     def _free_slot(self, node):
