Judge slow and failing servers by the medians of the moment

Cause: the excess of a server over the median was stored when it reported. The report is kept now and compared when it is used. test_outliers: 12 passed.

--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -246,7 +246,7 @@
         _estimated_load(table, member, target, now_ms), target.outstanding
     )
     capacity *= _slow_start_share(target, slow_start_ms, now_ms)
-    return outliers.weigh(target, (load + 1) / capacity, now_ms)
+    return outliers.weigh(table, target, (load + 1) / capacity, now_ms)
 
 
 def _slow_start_share(target, slow_start_ms, now_ms):
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -99,10 +99,9 @@
         it broke or could not be opened.
     :param redial_due_ms: when it is next dialled while unreachable.
     :param ejections: consecutive ejections without a success in between.
-    :param slowness: ratio of its reported latency to its service's median.
-    :param excess_failures: share of its runs that failed, as reported, above
-        what is ordinary in its service.
-    :param quality_at_ms: time of that report.
+    :param report: latency and failures, as reported with the last response;
+        None before the first.
+    :param report_at_ms: time of that report.
     """
 
     accepting_since_ms: float = dataclasses.field(
@@ -119,9 +118,8 @@
     refusing_until_ms: float = float("-inf")
     unreachable_until_ms: float = float("-inf")
     redial_due_ms: float = 0.0
-    slowness: float = 1.0
-    excess_failures: float = 0.0
-    quality_at_ms: float = float("-inf")
+    report: QualityReport | None = None
+    report_at_ms: float = float("-inf")
 
 
 @dataclasses.dataclass
--- a/fescueyard/routing/outliers.py
+++ b/fescueyard/routing/outliers.py
@@ -49,32 +49,47 @@
         or now_ms - quality.medians_at_ms >= MEDIANS_INTERVAL_MS
     ):
         _update_medians(table, quality, report.service, now_ms)
-    target.quality_at_ms = now_ms
-    tolerated_share = (
-        FAILURE_TOLERANCE
-        + FAILURE_TOLERANCE_PER_MEDIAN * quality.failure_share
-    )
-    target.excess_failures = max(0.0, report.failure_share - tolerated_share)
-    if report.latency_ms and quality.latency_ms:
-        slowness = report.latency_ms / quality.latency_ms
-        target.slowness = min(SLOWNESS_MAX, max(SLOWNESS_MIN, slowness))
+    target.report = report
+    target.report_at_ms = now_ms
 
 
-def weigh(target, load_per_slot, now_ms):
+def weigh(table, target, load_per_slot, now_ms):
     """Return the load of a server as an ordinary one of its service has it.
 
+    :param table: :class:`~fescueyard.routing.models.MemberTable`.
     :param target: :class:`~fescueyard.routing.models.TargetState`.
     :param load_per_slot: its requests in flight, per slot.
     :param now_ms: the present time.
     :returns: a load per slot that can be compared between servers.
     """
-    age_ms = now_ms - target.quality_at_ms
+    report = target.report
+    if report is None:
+        return load_per_slot
+    quality = table.quality[report.service, report.priority]
+    age_ms = now_ms - target.report_at_ms
     weight = 0.5 ** (age_ms / REPORT_HALF_LIFE_MS)
-    slowness = 1.0 + weight * (target.slowness - 1.0)
-    failures = weight * target.excess_failures
+    slowness = 1.0 + weight * (_slowness(report, quality) - 1.0)
+    failures = weight * _excess_failures(report, quality)
     return load_per_slot * slowness + LOAD_PER_FAILURE_SHARE * failures
 
 
+def _slowness(report, quality):
+    """Return the ratio of a server's latency to the median."""
+    if not report.latency_ms or not quality.latency_ms:
+        return 1.0
+    ratio = report.latency_ms / quality.latency_ms
+    return min(SLOWNESS_MAX, max(SLOWNESS_MIN, ratio))
+
+
+def _excess_failures(report, quality):
+    """Return the share of failures above what is ordinary."""
+    tolerated_share = (
+        FAILURE_TOLERANCE
+        + FAILURE_TOLERANCE_PER_MEDIAN * quality.failure_share
+    )
+    return max(0.0, report.failure_share - tolerated_share)
+
+
 def _update_medians(table, quality, service, now_ms):
     """Calculate the medians over the servers that are still in use."""
     quality.medians_at_ms = now_ms
