--- a/demo/backend.py
+++ b/demo/backend.py
@@ -24,6 +24,7 @@
 
 ANNOUNCE_INTERVAL_S = 0.5
 ANNOUNCEMENT_TTL_MS = 2_000
+REQUEST_ID_HEADER = "x-request-id"
 BODY_BYTES_MAX = 64 * 1024 * 1024
 
 
@@ -37,10 +38,13 @@
 
     def __init__(self, options):
         self._options = options
-        self._client = backend_client.BackendClient(1_000, BODY_BYTES_MAX)
+        self._client = backend_client.BackendClient(
+            1_000, BODY_BYTES_MAX, requires_echo=False
+        )
         self._server = http_server.HttpServer(self, BODY_BYTES_MAX)
         self._run_log = open(options["run_log"], "a", buffering=1)
         self._connections = {}
+        self._request_ids = {}
         self._draining = False
 
     async def start(self):
@@ -54,6 +58,7 @@
     def request_received(self, exchange_id, request, connection):
         """Handle a request."""
         self._connections[exchange_id] = connection
+        self._request_ids[exchange_id] = request.header(REQUEST_ID_HEADER)
         self._log_run(request)
         split = urllib.parse.urlsplit(request.target)
         query = dict(urllib.parse.parse_qsl(split.query))
@@ -83,6 +88,7 @@
     def caller_left(self, exchange_id):
         """Forget a request whose caller disconnected."""
         self._connections.pop(exchange_id, None)
+        self._request_ids.pop(exchange_id, None)
 
     def may_overlap(self, request):
         """Return False; requests of one connection run one at a time."""
@@ -118,8 +124,12 @@
 
     def _respond(self, exchange_id, status, body):
         connection = self._connections.pop(exchange_id, None)
+        request_id = self._request_ids.pop(exchange_id, None)
         if connection is not None:
-            response = http.HttpResponse(status, [], body)
+            headers = []
+            if request_id:
+                headers.append(http.Header(REQUEST_ID_HEADER, request_id))
+            response = http.HttpResponse(status, headers, body)
             connection.respond(exchange_id, response)
 
     def _log_run(self, request):
--- a/fescueyard/admission/announcements.py
+++ b/fescueyard/admission/announcements.py
@@ -4,6 +4,11 @@
 after its successor announced itself at the same address. Each carries the
 start time of its process and a sequence number; one that is older than the
 latest known announcement is ignored.
+
+A node that was restarted knows no earlier announcement. The first one that it
+receives may be late and from a server that has since reported that it is
+leaving, so it counts only once a later one of the same process follows, or
+the server's health check confirms it.
 """
 
 import dataclasses
@@ -34,6 +39,21 @@
     cold_ms: float
 
 
+def follows(held, announcement):
+    """Return whether an announcement confirms the one held before it.
+
+    :param held: :class:`Announcement`, or None.
+    :param announcement: :class:`Announcement`.
+    :returns: whether both are of one process and the second one is later.
+    """
+    return (
+        held is not None
+        and held.instance == announcement.instance
+        and held.born_ms == announcement.born_ms
+        and held.sequence < announcement.sequence
+    )
+
+
 def is_outdated(backend, announcement):
     """Return whether an announcement is older than the one known.
 
@@ -41,10 +61,19 @@
     :param announcement: :class:`Announcement`.
     :returns: bool.
     """
-    if backend is None:
-        return False
-    if announcement.born_ms != backend.born_ms:
-        return announcement.born_ms < backend.born_ms
-    if announcement.instance != backend.instance:
+    return backend is not None and is_older(announcement, backend)
+
+
+def is_older(announcement, known):
+    """Return whether an announcement is older than another one.
+
+    :param announcement: :class:`Announcement`.
+    :param known: :class:`Announcement`, or the
+        :class:`~fescueyard.admission.models.Backend` made from one.
+    :returns: bool.
+    """
+    if announcement.born_ms != known.born_ms:
+        return announcement.born_ms < known.born_ms
+    if announcement.instance != known.instance:
         return False
-    return announcement.sequence < backend.sequence
+    return announcement.sequence < known.sequence
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from fescueyard.admission import announcements
 from fescueyard.admission import concurrency_share
 from fescueyard.admission import messages
 from fescueyard.admission import outcomes
@@ -134,6 +135,8 @@
     :param awaiting_probe: requests whose runs were interrupted, until a probe
         shows whether the backend server has crashed.
     :param closed: whether the node is stopping and accepts no more runs.
+    :param held_announcement: first announcement after a restart of the node,
+        until it is confirmed; None for none.
     :param outcome_counts: recent runs and failures of the backend server.
     """
 
@@ -152,6 +155,7 @@
     )
     last_run_id: int = 0
     closed: bool = False
+    held_announcement: announcements.Announcement | None = None
     outcome_counts: outcomes.OutcomeCounts = dataclasses.field(
         default_factory=outcomes.OutcomeCounts
     )
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -147,6 +147,10 @@
             known_sequence=backend.sequence,
         )
         return
+    if _must_be_confirmed(tables, announcement):
+        _hold(table, announcement)
+        return
+    table.held_announcement = None
     same_process = (
         backend is not None
         and backend.instance == announcement.instance
@@ -172,6 +176,15 @@
             cold_ms=round(announcement.cold_ms),
         )
     if announcement.leaving:
+        if backend is None:
+            # Later announcements of the same process are compared with it.
+            table.backend = models.Backend(
+                announcement.service,
+                announcement.address,
+                announcement.slots,
+                now_ms,
+                True,
+            )
         drain_backend(tables, now_ms)
     else:
         register_backend(
@@ -192,6 +205,47 @@
         _update_cold_until(tables, announcement.cold_ms, now_ms)
 
 
+def _must_be_confirmed(tables, announcement):
+    """Return whether an announcement may be late, from before a restart."""
+    table = tables.runs
+    return (
+        tables.confirms_announcements
+        and table.backend is None
+        and not announcement.leaving
+        and not announcements.follows(table.held_announcement, announcement)
+    )
+
+
+def _hold(table, announcement):
+    LOG.info(
+        "announcement_held",
+        instance=announcement.instance,
+        born_ms=announcement.born_ms,
+        sequence=announcement.sequence,
+    )
+    held = table.held_announcement
+    if held is None or not announcements.is_older(announcement, held):
+        table.held_announcement = announcement
+
+
+def confirm_backend(tables, announcement, ttl_ms, now_ms):
+    """Register the backend server that its health check has confirmed.
+
+    :param tables: the node's tables.
+    :param announcement:
+        :class:`~fescueyard.admission.announcements.Announcement`, built from
+        the health check; that of the server itself is used if it is held.
+    :param ttl_ms: time without an announcement after which it counts as gone,
+        in ms.
+    :param now_ms: the present time.
+    """
+    held = tables.runs.held_announcement
+    if held is not None and held.instance == announcement.instance:
+        announcement = held
+    tables.confirms_announcements = False
+    apply_announcement(tables, announcement, ttl_ms, now_ms)
+
+
 def _update_cold_until(tables, cold_ms, now_ms):
     """Set the end of the slow start; publish it if it is much later.
 
@@ -212,8 +266,11 @@
     :param instance: its id; the report of another instance is ignored.
     :param now_ms: the present time.
     """
-    backend = tables.runs.backend
-    if backend is not None and backend.instance == instance:
+    table = tables.runs
+    held = table.held_announcement
+    if held is not None and held.instance == instance:
+        table.held_announcement = None
+    if table.backend is not None and table.backend.instance == instance:
         LOG.info("backend_left", instance=instance)
         drain_backend(tables, now_ms)
 
--- a/fescueyard/conf/settings.py
+++ b/fescueyard/conf/settings.py
@@ -84,6 +84,10 @@
         this VM are attributed to it.
     :param server_address: ``host:port`` of the backend server, to rediscover
         it after a restart before it announces itself; empty for none.
+    :param first_start: whether the whole fleet starts for the first time. If
+        not, the backend server may have reported to an earlier process of
+        this node that it is leaving, and its first announcement has to be
+        confirmed.
     :param announcement_ttl_ms: time without an announcement after which the
         backend server is considered gone, unless its announcement states
         another.
@@ -104,6 +108,7 @@
     caller_interface: typing.Literal["services", "routes"] = "services"
     service: str = ""
     server_address: AddressText | None = None
+    first_start: bool = False
     announcement_ttl_ms: PositiveMs = defaults.ANNOUNCEMENT_TTL_MS
     stop_timeout_ms: PositiveMs = defaults.STOP_TIMEOUT_MS
     leave_notice_ms: typing.Annotated[int, pydantic.Field(ge=0)] = 0
--- a/fescueyard/ingress/parsing.py
+++ b/fescueyard/ingress/parsing.py
@@ -8,6 +8,7 @@
 from fescueyard.configuration import models as configuration_models
 from fescueyard.core import codes
 from fescueyard.core import exceptions
+from fescueyard.core import http
 from fescueyard.core import text
 from fescueyard.ingress import models
 from fescueyard.keys import systems as keys
@@ -56,6 +57,7 @@
     cleaned = keys.sanitize_request(request, target)
     table = tables.calls
     table.last_call_id += 1
+    request_id = _ensure_request_id(tables, cleaned, context.chain)
     return models.Call(
         call_id=table.last_call_id,
         exchange_id=exchange_id,
@@ -71,9 +73,24 @@
         chain=context.chain,
         fingerprint=fingerprint(name, cleaned, context.identity.customer),
         parent_run_id=context.parent_run_id,
+        request_id=request_id,
     )
 
 
+def _ensure_request_id(tables, cleaned, chain):
+    """Return the id of a request; add one to its headers if it has none.
+
+    By the id that a backend server echoes, its response is told from a late
+    one to an earlier request.
+    """
+    name = tables.interface.names.request_id
+    request_id = cleaned.header(name)
+    if not request_id:
+        request_id = f"{chain.chain_id}-{tables.calls.last_call_id}"
+        cleaned.headers.append(http.Header(name, request_id))
+    return request_id
+
+
 def _split_service_path(target):
     if not target.startswith("/"):
         raise exceptions.RequestError("the target is no path")
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -42,7 +42,8 @@
 
 TICK_MIN_MS = 1.0
 BACKEND_CONNECTIONS_MAX = 1_000
-# Time to flush the last responses and the leave message to the sockets.
+# Time to refuse the requests of connections accepted last, and to flush the
+# last responses and the leave message to the sockets.
 LEAVE_FLUSH_S = 0.2
 # Part of the stop timeout kept for responses to calls that are cut off when a
 # planned stop ends.
@@ -114,6 +115,7 @@
         tables.interface = interface or ingress_interface.Interface()
         tables.service = settings.service
         tables.leave_notice_ms = settings.leave_notice_ms
+        tables.confirms_announcements = not settings.first_start
         secret = conf_settings.read_secret(
             settings.cluster_secret,
             settings.cluster_secret_file,
@@ -144,6 +146,7 @@
             BACKEND_CONNECTIONS_MAX,
             settings.answer_bytes_max,
             tables.interface.names,
+            requires_echo=tables.routed,
         )
         self._connections = {}
         self._run_futures = {}
@@ -265,6 +268,8 @@
             self.settings.announcement_ttl_ms,
             now_ms,
         )
+        if self._tables.runs.held_announcement is not None:
+            self._query_backend_id()
 
     def backend_left(self, instance, now_ms):
         """Handle the backend server's message that it is leaving.
@@ -379,10 +384,8 @@
             self._shutting_down = True
             systems.announce_leave(self._tables, now_ms)
             self._apply_effects()
-            self._caller_server.close_when_idle()
-            self._backend_caller_server.close_when_idle()
-            self._ready_server.close_when_idle()
-            self._metrics_server.close_when_idle()
+            for server in self._http_servers():
+                server.stop_accepting()
             loop.call_later(LEAVE_FLUSH_S, self._shut_down)
             return
         self._schedule_tick(now_ms)
@@ -410,7 +413,17 @@
             (due_ms - now_ms) / 1000, self._tick
         )
 
+    def _http_servers(self):
+        return (
+            self._caller_server,
+            self._backend_caller_server,
+            self._ready_server,
+            self._metrics_server,
+        )
+
     def _shut_down(self):
+        for server in self._http_servers():
+            server.close_when_idle()
         self._stream_pool.close()
         self._datagram_socket.close()
         LOG.info("Node stopped.")
@@ -488,7 +501,12 @@
             instance=None if announcement is None else announcement.instance,
         )
         if announcement is not None and self._tables.runs.backend is None:
-            self.apply_announcement(announcement, now_ms)
+            admission.confirm_backend(
+                self._tables,
+                announcement,
+                self.settings.announcement_ttl_ms,
+                now_ms,
+            )
         self._process_pending(now_ms)
 
     def _probe_completed(self, task):
--- a/fescueyard/node/tables.py
+++ b/fescueyard/node/tables.py
@@ -55,6 +55,8 @@
     :param service: service of this VM's backend server, from the settings.
     :param leave_notice_ms: notice period: time between the start of a planned
         stop and refusing callers; from the settings.
+    :param confirms_announcements: whether the first announcement of the
+        backend server has to be confirmed, since this node was restarted.
     :param draining: whether the node is stopping and accepts no new work.
     :param draining_since_ms: when draining began.
     :param events: queue of events that this process has yet to handle.
@@ -109,6 +111,7 @@
     routed: bool = False
     service: str = ""
     leave_notice_ms: float = 0.0
+    confirms_announcements: bool = False
     draining: bool = False
     draining_since_ms: float = 0.0
     events: list = dataclasses.field(default_factory=list)
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -144,6 +144,7 @@
         caller_interface="routes",
         service=self_table.Service,
         server_address=self_table.AppAddr or None,
+        first_start=self_table.Bootstrap,
         announcement_ttl_ms=(
             parsed.Platform.HeartbeatMs * HEARTBEATS_MISSED_MAX
         ),
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -29,6 +29,8 @@
     :param connections_max: maximum number of open connections.
     :param response_bytes_max: maximum size of a response body.
     :param names: :class:`~fescueyard.core.headers.HeaderNames`.
+    :param requires_echo: whether each successful response has to echo the id
+        of its request; otherwise only those of a server that has echoed one.
     """
 
     def __init__(
@@ -36,9 +38,12 @@
         connections_max,
         response_bytes_max,
         names=header_names.HeaderNames(),
+        requires_echo=True,
     ):
         self.response_bytes_max = response_bytes_max
         self.names = names
+        self.requires_echo = requires_echo
+        self.echoing_addresses = set()
         self.connections_opened = 0
         self._connections_max = connections_max
         self._loop = asyncio.get_running_loop()
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -262,12 +262,21 @@
             return True
         echoed_id = response.header(self._client.names.request_id)
         if echoed_id is None:
+            if not self._must_echo():
+                return True
             if response.status < 300:
                 return False
             self.usable = False
             return True
+        self._client.echoing_addresses.add(self.address)
         return echoed_id == transfer.request_id
 
+    def _must_echo(self):
+        return (
+            self._client.requires_echo
+            or self.address in self._client.echoing_addresses
+        )
+
     def _classify(self, response, transfer):
         if response.header(self._client.names.not_run) is not None:
             return BackendResult(None, codes.BACKEND_REFUSED)
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 listener for callers, operators and the backend server."""
 
 import asyncio
+import socket
 
 from fescueyard.core import addresses
 from fescueyard.core import clock
@@ -11,6 +12,7 @@
 LOG = logs.ComponentLogger("http")
 
 SWEEP_INTERVAL_S = 1.0
+BACKLOG_CONNECTIONS = 1_024
 
 
 class HttpServer:
@@ -25,6 +27,8 @@
         self.limits = http_parsing.Limits(body_bytes_max)
         self._handler = handler
         self._connections = set()
+        self._tasks = set()
+        self._socket = None
         self._server = None
         self._closing = False
 
@@ -34,8 +38,11 @@
         :param address: :class:`~fescueyard.core.addresses.Address`.
         """
         loop = asyncio.get_running_loop()
+        self._socket = socket.create_server(
+            (address.host, address.port), backlog=BACKLOG_CONNECTIONS
+        )
         self._server = await loop.create_server(
-            self._new_connection, address.host, address.port, backlog=1024
+            self._new_connection, sock=self._socket
         )
         self._sweep()
 
@@ -45,12 +52,29 @@
         for connection in list(self._connections):
             connection.close_after_response()
 
+    def stop_accepting(self):
+        """Close the listener once all connections made so far are accepted.
+
+        The kernel has completed their handshakes, and a caller may already
+        have sent a request. Closing the listener before would reset them.
+        """
+        if self._server is None or not self._server.is_serving():
+            return
+        self._closing = True
+        loop = asyncio.get_running_loop()
+        while (accepted := _accept(self._socket)) is not None:
+            task = loop.create_task(
+                loop.connect_accepted_socket(self._new_connection, accepted)
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        self._server.close()
+
     def close_when_idle(self):
         """Stop accepting; close each connection once it is idle."""
         if self._server is None:
             return
-        self._closing = True
-        self._server.close()
+        self.stop_accepting()
         for connection in list(self._connections):
             connection.close_when_idle()
 
@@ -68,6 +92,16 @@
             loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
 
+def _accept(listening):
+    """Return the next connection that waits to be accepted, or None."""
+    try:
+        accepted, _ = listening.accept()
+    except OSError:
+        return None
+    accepted.setblocking(False)
+    return accepted
+
+
 class ImmediateHandler:
     """Handler that responds to each request synchronously.
 
--- a/tests/admission/test_announcements.py
+++ b/tests/admission/test_announcements.py
@@ -100,6 +100,97 @@
     assert backend.service == reported[-1].service or name.startswith("late")
 
 
+def _restarted_node():
+    """Return the world and the tables of a node without any memory."""
+    world = setups.start_routed_fleet(zones=("zone-a",))
+    tables = world.nodes["orders-zone-a"].tables
+    tables.runs.backend = None
+    tables.confirms_announcements = True
+    return world, tables
+
+
+AFTER_RESTART = {
+    "late, and the server has ended": ([_announcement(sequence=5)], False),
+    "late, and the server is leaving": (
+        [
+            _announcement(sequence=5),
+            _announcement(sequence=8, leaving=True),
+        ],
+        False,
+    ),
+    "late behind its successor in time": (
+        [
+            _announcement(sequence=8, leaving=True),
+            _announcement(sequence=5),
+            _announcement(sequence=6),
+        ],
+        False,
+    ),
+    "late of a predecessor": (
+        [
+            _announcement("i-1", born_ms=100, sequence=7),
+            _announcement("i-2", born_ms=200, sequence=1),
+        ],
+        False,
+    ),
+    "the same one twice": (
+        [_announcement(sequence=5), _announcement(sequence=5)],
+        False,
+    ),
+    "two in a row": (
+        [_announcement(sequence=5), _announcement(sequence=6)],
+        True,
+    ),
+    "two in a row behind a late one": (
+        [
+            _announcement("i-1", born_ms=100, sequence=7),
+            _announcement("i-2", born_ms=200, sequence=1),
+            _announcement("i-2", born_ms=200, sequence=2),
+        ],
+        True,
+    ),
+}
+
+
+@pytest.mark.parametrize("name", AFTER_RESTART)
+def test_restarted_node_uses_no_server_on_one_announcement(name):
+    reported, is_used = AFTER_RESTART[name]
+    world, tables = _restarted_node()
+    for announcement in reported:
+        admission.apply_announcement(
+            tables, announcement, TTL_MS, world.now_ms
+        )
+    backend = tables.runs.backend
+    assert (backend is not None and not backend.leaving) == is_used
+
+
+def test_server_that_left_a_restarted_node_is_not_used():
+    world, tables = _restarted_node()
+    admission.apply_announcement(
+        tables, _announcement(sequence=5), TTL_MS, world.now_ms
+    )
+    admission.backend_left(tables, "i-1", world.now_ms)
+    admission.apply_announcement(
+        tables, _announcement(sequence=6), TTL_MS, world.now_ms
+    )
+    assert tables.runs.backend is None
+
+
+def test_health_check_confirms_the_announcement_held():
+    world, tables = _restarted_node()
+    admission.apply_announcement(
+        tables, _announcement(sequence=5, slots=33), TTL_MS, world.now_ms
+    )
+    checked = _announcement("i-1", born_ms=0, sequence=0, slots=16)
+    admission.confirm_backend(tables, checked, TTL_MS, world.now_ms)
+    backend = tables.runs.backend
+    assert (backend.instance, backend.slots, backend.born_ms) == (
+        "i-1",
+        33,
+        100,
+    )
+
+
 def test_leave_of_another_instance_does_not_drain_this_one():
     world = setups.start_routed_fleet(zones=("zone-a",))
     tables = world.nodes["orders-zone-a"].tables
--- a/tests/core/test_dumps.py
+++ b/tests/core/test_dumps.py
@@ -13,7 +13,8 @@
 from fescueyard.routing import models as routing_models
 
 _NODE_KEYS = set(
-    "calls claims configuration default_profile draining draining_since_ms"
+    "calls claims configuration confirms_announcements default_profile"
+    " draining draining_since_ms"
     " effects events interface leave_notice_ms limits members metrics pressure"
     " process_id pull quarantine random retries routed routes runs"
     " secure_random seeds service timers".split()
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -142,12 +142,14 @@
     )
 
 
-async def _fetch_in_sequence(responses, count):
+async def _fetch_in_sequence(responses, count, requires_echo=True):
     """Send requests one after the other to a server with raw responses."""
     server = RawServer(responses)
     server.keep_open = True
     url = await server.start()
-    client = backend_client.BackendClient(10, 1_000)
+    client = backend_client.BackendClient(
+        10, 1_000, requires_echo=requires_echo
+    )
     results = []
     for number in range(count):
         done = asyncio.get_running_loop().create_future()
@@ -191,6 +193,22 @@
     assert opened == 2
 
 
+def test_server_that_echoes_no_id_is_accepted_until_it_echoes_one():
+    responses = [
+        RESPONSE,
+        _with_id(b"id-1"),
+        RESPONSE + _with_id(b"id-2", b"own"),
+    ]
+    results, _ = asyncio.run(
+        _fetch_in_sequence(responses, 3, requires_echo=False)
+    )
+    assert [result.response.body for result in results] == [
+        b"hello",
+        b"hello",
+        b"own",
+    ]
+
+
 def test_malformed_bytes_are_not_a_response():
     results, _ = asyncio.run(
         _fetch_in_sequence([b"\x00\x01garbage\r\n\r\n"], 1)
--- a/tests/transport/test_pipelining.py
+++ b/tests/transport/test_pipelining.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import socket
 
 import pytest
 
@@ -392,3 +393,38 @@
         assert transport.closed == (slow_part == "headers")
 
     test()
+
+
+def test_connection_not_yet_accepted_at_a_planned_stop_is_answered():
+    async def exchange():
+        server = http_server.HttpServer(
+            http_server.ImmediateHandler(
+                lambda request, now_ms: http.HttpResponse(503, [], b"leaving")
+            ),
+            1_000,
+        )
+        await server.listen(addresses.Address("127.0.0.1", 0))
+        address = server._server.sockets[0].getsockname()
+        callers = []
+        for _ in range(20):
+            # The loop does not run, so nothing is accepted meanwhile.
+            caller = socket.create_connection(address, 1)
+            caller.sendall(_request("/1"))
+            callers.append(caller)
+        server.stop_accepting()
+        await asyncio.sleep(0.1)
+        server.close_when_idle()
+        return [_read_all(caller) for caller in callers]
+
+    for received in asyncio.run(exchange()):
+        assert received.startswith(b"HTTP/1.1 503")
+        assert b"connection: close" in received
+
+
+def _read_all(caller):
+    caller.settimeout(1)
+    with caller:
+        received = b""
+        while chunk := caller.recv(65_536):
+            received += chunk
+    return received
--- a/tests/world.py
+++ b/tests/world.py
@@ -551,7 +551,8 @@
         run.ended_at_ms = self.now_ms
         del node.runs[run_id]
         self._free_slot(node)
-        spoiled_share = node.backend.spoiled_share
+        backend = node.backend
+        spoiled_share = 0.0 if backend is None else backend.spoiled_share
         if spoiled_share and self.random.random() < spoiled_share:
             self._report_run_end(node, run_id, None, codes.SHORT_ANSWER)
             return
