Survive a disk that refuses writes on any control VM

Now the member promises nothing while it can't save: it steps down, its messages are dropped, and each 200 ms it tries again. A failed append is truncated before the next one, and what is known of the files changes only after a write has succeeded. A start waits until the data folder can be used.

Saving and applying is one function that the process and the simulated members share.

--- a/fescueyard/consensus/roles.py
+++ b/fescueyard/consensus/roles.py
@@ -61,6 +61,15 @@
     table.votes.clear()
 
 
+def step_down(table, now_ms):
+    """Give up the leadership or the candidacy, if this member has one.
+
+    :param now_ms: the present time.
+    """
+    if table.role is not models.Role.FOLLOWER:
+        become_follower(table, now_ms)
+
+
 def follow(table, term, sender_id, now_ms):
     """Follow the sender of a leader's message and reset the election timer.
 
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -7,7 +7,6 @@
 from fescueyard.consensus import elections
 from fescueyard.consensus import log
 from fescueyard.consensus import models as consensus_models
-from fescueyard.consensus import systems as consensus
 from fescueyard.control import admin
 from fescueyard.control import bootstrap
 from fescueyard.control import exposition
@@ -32,6 +31,7 @@
 
 TICK_S = 0.04
 STOP_TIMEOUT_S = 5.0
+STORAGE_RETRY_S = 0.5
 ADMIN_BODY_BYTES_MAX = 16 * 1024 * 1024
 
 
@@ -294,33 +294,16 @@
         asyncio.get_running_loop().call_later(TICK_S, self._tick)
 
     def _process_pending(self, now_ms):
-        """Save and apply until nothing is unsaved, then send."""
-        tables = self._tables
-        consensus_table = tables.consensus
-        while True:
-            self._save()
-            consensus.mark_saved(consensus_table, now_ms)
-            systems.apply_committed(tables, now_ms)
-            if systems.needs_snapshot(tables):
-                systems.take_snapshot(tables)
-            if log.unsaved_changes(consensus_table) is None:
-                break
+        """Save and apply until nothing is unsaved, then send.
+
+        The event loop blocks on the disk on purpose: a member whose disk
+        hangs must not keep its leadership by heartbeats alone.
+        """
+        systems.save_and_apply(self._tables, self._storage.save, now_ms)
         self._send_outbox()
         self._send_effects()
         self._deliver_outcomes()
 
-    def _save(self):
-        unsaved = log.unsaved_changes(self._tables.consensus)
-        if unsaved is None:
-            return
-        try:
-            # The event loop blocks on the disk on purpose: a member whose
-            # disk hangs must not keep its leadership by heartbeats alone.
-            self._storage.save(unsaved)
-        except OSError as error:
-            LOG.error("Writing to the data folder failed.", error=str(error))
-            raise SystemExit(1) from error
-
     def _send_outbox(self):
         consensus_table = self._tables.consensus
         outbox = consensus_table.outbox
@@ -413,7 +396,7 @@
     """Open the data folder and start a control process.
 
     A new data folder is initialised first if the settings say to bootstrap a
-    cluster or to join one.
+    cluster or to join one. While the disk refuses writes, the start waits.
 
     :param settings: :class:`~fescueyard.conf.settings.ControlSettings`.
     :param interface: see :class:`ControlProcess`.
@@ -422,20 +405,37 @@
     :raises StorageError: when the data folder is uninitialised, in use or
         corrupt.
     """
-    storage = storages.Storage(settings.data_folder)
-    if storage.is_new() and settings.address in settings.founders:
-        bootstrap.bootstrap_cluster(storage, settings)
-    elif storage.is_new() and settings.join:
-        storage.create(
-            lambda member_id: consensus_models.Snapshot(0, 0, [], b"")
-        )
-    process = ControlProcess(
-        settings, storage, storage.load(), interface, reload
-    )
+    while True:
+        try:
+            storage, stored = _open_storage(settings)
+            break
+        except OSError as error:
+            LOG.error("storage_unusable", error=str(error))
+            await asyncio.sleep(STORAGE_RETRY_S)
+    process = ControlProcess(settings, storage, stored, interface, reload)
     await process.start()
     return process
 
 
+def _open_storage(settings):
+    """Open the data folder; initialise a new one if the settings say so.
+
+    :returns: the storage and its contents.
+    """
+    storage = storages.Storage(settings.data_folder)
+    try:
+        if storage.is_new() and settings.address in settings.founders:
+            bootstrap.bootstrap_cluster(storage, settings)
+        elif storage.is_new() and settings.join:
+            storage.create(
+                lambda member_id: consensus_models.Snapshot(0, 0, [], b"")
+            )
+        return storage, storage.load()
+    except OSError:
+        storage.close()
+        raise
+
+
 def _round_finite(value_ms):
     return None if value_ms == float("inf") else round(value_ms)
 
--- a/fescueyard/control/storage.py
+++ b/fescueyard/control/storage.py
@@ -5,8 +5,10 @@
 appended to, truncated when entries at its end conflict with the leader's, and
 replaced atomically when a snapshot covers entries at its start. Each record
 carries a checksum of its length and payload. All writes are synced to disk
-before :meth:`Storage.save` returns. The file ``lock`` is empty; the process
-that uses the folder locks it.
+before :meth:`Storage.save` returns. When it fails, for example on a full disk,
+it can be repeated: what is known of the files changes only after a write has
+succeeded, and a failed append is truncated before the next one. The file
+``lock`` is empty; the process that uses the folder locks it.
 """
 
 import dataclasses
@@ -63,6 +65,8 @@
         self._log = None
         self._record_ends = []
         self._first_index = 1
+        # Whether a failed append may have left bytes behind the last record.
+        self._has_torn_tail = False
 
     def is_new(self):
         """Return whether the folder holds no member yet.
@@ -115,6 +119,8 @@
         """Write the unsaved changes and sync them to disk.
 
         :param unsaved: :class:`~fescueyard.consensus.models.UnsavedChanges`.
+        :raises OSError: when the disk refuses a write; nothing of the changes
+            may be relied on then, and the call can be repeated.
         """
         if unsaved.vote is not None:
             self._replace("vote", unsaved.vote)
@@ -140,9 +146,8 @@
 
     def _replace_bytes(self, name, data):
         path = self._path(name)
-        with open(path + ".new", "wb") as file:
-            file.write(data)
-            file.flush()
+        with open(path + ".new", "wb", buffering=0) as file:
+            _write_all(file, data)
             os.fsync(file.fileno())
         os.rename(path + ".new", path)
         descriptor = os.open(self._folder, os.O_RDONLY)
@@ -212,32 +217,40 @@
             expected += 1
 
     def _open_log(self, entries, record_ends):
-        self._log = open(self._path("log"), "r+b")
-        self._log.seek(0, os.SEEK_END)
+        self._log = open(self._path("log"), "r+b", buffering=0)
         self._first_index = entries[0].index if entries else None
         self._record_ends = record_ends
 
     def _append(self, entries):
-        if self._first_index is None or not self._record_ends:
-            self._first_index = entries[0].index
+        start = self._end_of_log()
         data = bytearray()
-        start = self._record_ends[-1] if self._record_ends else 0
+        record_ends = []
         for entry in entries:
             data += _frame(wire.encode_plain(entry))
-            self._record_ends.append(start + len(data))
-        self._log.write(data)
-        self._log.flush()
+            record_ends.append(start + len(data))
+        if self._has_torn_tail:
+            self._log.truncate(start)
+        self._has_torn_tail = True
+        self._log.seek(start)
+        _write_all(self._log, data)
         os.fdatasync(self._log.fileno())
+        self._has_torn_tail = False
+        if not self._record_ends:
+            self._first_index = entries[0].index
+        self._record_ends += record_ends
+
+    def _end_of_log(self):
+        return self._record_ends[-1] if self._record_ends else 0
 
     def _truncate_log(self, index):
         if not self._record_ends:
             return
         kept_count = max(0, index - self._first_index + 1)
-        self._record_ends = self._record_ends[:kept_count]
-        end = self._record_ends[-1] if self._record_ends else 0
-        self._log.truncate(end)
-        self._log.seek(end)
+        kept = self._record_ends[:kept_count]
+        self._log.truncate(kept[-1] if kept else 0)
         os.fdatasync(self._log.fileno())
+        self._record_ends = kept
+        self._has_torn_tail = False
 
     def _drop_prefix(self, index):
         dropped_count = 0
@@ -248,7 +261,8 @@
             return
         start = self._record_ends[dropped_count - 1]
         self._log.seek(start)
-        self._replace_bytes("log", self._log.read())
+        kept = self._log.read(self._end_of_log() - start)
+        self._replace_bytes("log", kept)
         self._log.close()
         record_ends = [
             end - start for end in self._record_ends[dropped_count:]
@@ -256,6 +270,7 @@
         first_index = self._first_index + dropped_count
         self._open_log([], record_ends)
         self._first_index = first_index
+        self._has_torn_tail = False
 
     def _replace_log(self, entries):
         data = bytearray()
@@ -264,6 +279,13 @@
         self._replace_bytes("log", data)
 
 
+def _write_all(file, data):
+    """Write all bytes to an unbuffered file."""
+    remaining = memoryview(data)
+    while remaining:
+        remaining = remaining[file.write(remaining) :]
+
+
 def _frame(payload):
     length_prefix = len(payload).to_bytes(4, "big")
     checksum = zlib.crc32(payload, zlib.crc32(length_prefix))
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -1,8 +1,7 @@
 """Decisions of a control process: changes, freshness, joining.
 
 The I/O layer calls :func:`receive`, the ``submit`` functions and :func:`tick`,
-persists the unsaved changes of the consensus table, marks them as saved, and
-then calls :func:`apply_committed`.
+then :func:`save_and_apply`, and only then sends what is in the outbox.
 """
 
 import functools
@@ -17,6 +16,7 @@
 from fescueyard.consensus import messages as consensus_messages
 from fescueyard.consensus import models as consensus_models
 from fescueyard.consensus import replication
+from fescueyard.consensus import roles
 from fescueyard.consensus import systems as consensus
 from fescueyard.control import messages
 from fescueyard.control import repair
@@ -45,6 +45,7 @@
 # Complete documents are large; the log is compacted before it fills the disk.
 SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
 REJOIN_WINDOW_MS = 5_000
+SAVE_RETRY_INTERVAL_MS = 200
 
 
 def state_age_ms(tables, now_ms):
@@ -164,6 +165,55 @@
     )
 
 
+def save_and_apply(tables, save, now_ms):
+    """Save what is unsaved and apply what is committed, until neither is left.
+
+    Load pattern: the disk is full or faulty and refuses writes. This member
+    then promises nothing: it gives up the leadership, and its messages are
+    dropped until a later call can save. The others elect another leader.
+
+    :param tables: the process's tables.
+    :param save: function that writes
+        :class:`~fescueyard.consensus.models.UnsavedChanges` to disk; raises
+        ``OSError`` when it can't.
+    :param now_ms: the present time.
+    """
+    consensus_table = tables.consensus
+    while True:
+        if not _save(tables, save, now_ms):
+            roles.step_down(consensus_table, now_ms)
+            consensus_table.outbox.clear()
+            apply_committed(tables, now_ms)
+            return
+        consensus.mark_saved(consensus_table, now_ms)
+        apply_committed(tables, now_ms)
+        if needs_snapshot(tables):
+            take_snapshot(tables)
+        if log.unsaved_changes(consensus_table) is None:
+            return
+
+
+def _save(tables, save, now_ms):
+    """Return whether everything is saved; after a failure, wait a while."""
+    unsaved = log.unsaved_changes(tables.consensus)
+    if unsaved is None:
+        return True
+    if now_ms < tables.save_retry_due_ms:
+        return False
+    try:
+        save(unsaved)
+    except OSError as error:
+        if not tables.save_failures:
+            LOG.error("storage_refuses_writes", error=str(error))
+        tables.save_failures += 1
+        tables.save_retry_due_ms = now_ms + SAVE_RETRY_INTERVAL_MS
+        return False
+    if tables.save_failures:
+        LOG.info("storage_accepts_writes", failures=tables.save_failures)
+    tables.save_failures = 0
+    return True
+
+
 def apply_committed(tables, now_ms):
     """Apply committed entries and report their results.
 
--- a/fescueyard/control/tables.py
+++ b/fescueyard/control/tables.py
@@ -200,6 +200,8 @@
     )
     policy: ControlPolicy = dataclasses.field(default_factory=ControlPolicy)
     repair_due_ms: float = 0.0
+    save_failures: int = 0
+    save_retry_due_ms: float = float("-inf")
     rejoin_until_ms: float = dataclasses.field(
         default=float("-inf"), metadata=dumps.written_as("removed_until_ms")
     )
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -2,6 +2,7 @@
 
 import copy
 import dataclasses
+import errno
 import heapq
 import itertools
 import random
@@ -10,7 +11,6 @@
 from fescueyard.consensus import lease
 from fescueyard.consensus import log
 from fescueyard.consensus import models as consensus_models
-from fescueyard.consensus import systems as consensus
 from fescueyard.control import storage
 from fescueyard.control import systems
 from fescueyard.control import tables as control_tables
@@ -28,15 +28,21 @@
 
 
 class FakeDisk:
-    """A fake disk: whatever was saved survives a crash."""
+    """A fake disk: whatever was saved survives a crash.
+
+    Tests set ``full``; every write fails then.
+    """
 
     def __init__(self, member_id, snapshot):
+        self.full = False
         self.stored = storage.StoredState(
             member_id, consensus_models.Vote(0, ""), snapshot, []
         )
 
     def save(self, unsaved):
         """Save as :meth:`fescueyard.control.storage.Storage.save` does."""
+        if self.full:
+            raise OSError(errno.ENOSPC, "no space left on the device")
         stored = self.stored
         if unsaved.vote is not None:
             stored.vote = unsaved.vote
@@ -253,16 +259,7 @@
     def _process_pending(self, member_id):
         tables = self.tables[member_id]
         consensus_table = tables.consensus
-        while True:
-            unsaved = log.unsaved_changes(consensus_table)
-            if unsaved is not None:
-                self.disks[member_id].save(unsaved)
-            consensus.mark_saved(consensus_table, self.now_ms)
-            systems.apply_committed(tables, self.now_ms)
-            if systems.needs_snapshot(tables):
-                systems.take_snapshot(tables)
-            if log.unsaved_changes(consensus_table) is None:
-                break
+        systems.save_and_apply(tables, self.disks[member_id].save, self.now_ms)
         self._check(member_id)
         outbox, consensus_table.outbox = consensus_table.outbox, []
         for outgoing in outbox:
--- a/tests/control/test_replacement.py
+++ b/tests/control/test_replacement.py
@@ -1,8 +1,8 @@
 """Control members replaced for good, under random schedules.
 
 A member's disk is removed and another process with an empty disk joins at a
-new address, while others are down, frozen or cut off, and while an earlier
-replacement is still under way. No more disks are gone at once than the voters
+new address. Meanwhile others are down, frozen or cut off, have full disks, or
+are being replaced themselves. No more disks are gone at once than the voters
 tolerate. Every accepted change is there at the end.
 """
 
@@ -22,7 +22,7 @@
 
 
 class ReplacementMachine(stateful.RuleBasedStateMachine):
-    """Replacements beside crashes, freezes and partitions."""
+    """Replacements beside crashes, freezes, partitions and full disks."""
 
     @stateful.initialize(
         seed=strategies.integers(0, 2**20),
@@ -98,6 +98,17 @@
         if member_id is not None:
             self.cluster.frozen.add(member_id)
 
+    @stateful.rule(pick=PICKS)
+    def fill_disk(self, pick):
+        # Every write of this member fails from now on.
+        member_ids = sorted(self.cluster.disks)
+        self.cluster.disks[member_ids[pick % len(member_ids)]].full = True
+
+    @stateful.rule()
+    def free_disks(self):
+        for disk in self.cluster.disks.values():
+            disk.full = False
+
     @stateful.rule()
     def thaw(self):
         self.cluster.frozen.clear()
@@ -120,6 +131,7 @@
         cluster = self.cluster
         cluster.blocked_links.clear()
         cluster.frozen.clear()
+        self.free_disks()
         for member_id in cluster.disks:
             if member_id not in cluster.tables:
                 cluster.start(member_id)
