Part admission: registration of the backend server, and its runs

Draining is an event now, by which the queued runs are rejected; a drained backend server starts none. No other change of behaviour.

--- /dev/null
+++ b/fescueyard/admission/registration.py
@@ -0,0 +1,335 @@
+"""Registration of this VM's backend server: who it is, and whether it leaves.
+
+It announces itself to its node. It counts as gone when its announcements stop,
+when it reports that it is leaving, or when it no longer accepts connections.
+Each change is published to the fleet.
+"""
+
+import dataclasses
+
+from fescueyard.admission import announcements
+from fescueyard.admission import limiter
+from fescueyard.admission import models
+from fescueyard.admission import outcomes
+from fescueyard.core import codes
+from fescueyard.core import dispatch
+from fescueyard.core import effects
+from fescueyard.core import logs
+from fescueyard.core import timers
+from fescueyard.retries import quarantine
+from fescueyard.routing import membership
+
+LOG = logs.ComponentLogger("admission")
+
+CONNECT_FAILURES_MAX = 2
+COLD_CHANGE_MIN_MS = 500
+
+
+@dataclasses.dataclass(slots=True)
+class BackendDrained:
+    """Event: the backend server accepts no new work from now on."""
+
+
+@dataclasses.dataclass(slots=True)
+class BackendExpiryDue:
+    """Event: time to check whether the backend server has expired."""
+
+
+def register_backend(
+    tables,
+    service,
+    address,
+    slots,
+    ttl_ms,
+    now_ms,
+    is_new_process=False,
+    cold_ms=None,
+):
+    """Register the backend server or renew its registration.
+
+    :param tables: the node's tables.
+    :param service: its service.
+    :param address: ``host:port`` on this VM.
+    :param slots: requests it can run concurrently.
+    :param ttl_ms: time without an announcement after which it counts as gone,
+        in ms.
+    :param now_ms: the present time.
+    :param is_new_process: whether a process other than the known one
+        announced itself.
+    :param cold_ms: remaining time of its slow start, in ms, or None when not
+        reported.
+    """
+    table = tables.runs
+    backend = table.backend
+    expires_at_ms = now_ms + ttl_ms
+    is_renewal = (
+        backend is not None
+        and not is_new_process
+        and not backend.leaving
+        and (backend.service, backend.address, backend.slots)
+        == (service, address, slots)
+    )
+    if is_renewal:
+        backend.expires_at_ms = expires_at_ms
+    else:
+        limiter.reset(table.limiter, slots)
+        table.outcome_counts = outcomes.OutcomeCounts()
+        table.backend = models.Backend(
+            service, address, slots, expires_at_ms, False
+        )
+        if cold_ms is not None:
+            table.backend.cold_until_ms = now_ms + cold_ms
+        _publish_backend(tables, now_ms)
+    timers.schedule(tables.timers, expires_at_ms, BackendExpiryDue())
+
+
+def apply_announcement(tables, announcement, ttl_ms, now_ms):
+    """Apply the announcement of a backend server that has an id.
+
+    :param tables: the node's tables.
+    :param announcement:
+        :class:`~fescueyard.admission.announcements.Announcement`.
+    :param ttl_ms: time without an announcement after which it counts as gone,
+        in ms.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    backend = table.backend
+    if announcements.is_outdated(backend, announcement):
+        LOG.info(
+            "announcement_outdated",
+            instance=announcement.instance,
+            born_ms=announcement.born_ms,
+            sequence=announcement.sequence,
+            known=backend.instance,
+            known_born_ms=backend.born_ms,
+            known_sequence=backend.sequence,
+        )
+        return
+    if _must_be_confirmed(tables, announcement):
+        _hold(table, announcement)
+        return
+    table.held_announcement = None
+    same_process = (
+        backend is not None
+        and backend.instance == announcement.instance
+        and backend.born_ms == announcement.born_ms
+    )
+    if same_process and backend.leaving and not announcement.leaving:
+        # The process is draining or has ended; only a later process may
+        # register. One that was drained because it refused connections may
+        # register again.
+        if not backend.connect_failures:
+            return
+    is_known = (
+        same_process and not backend.leaving and not announcement.leaving
+    )
+    if not is_known:
+        LOG.info(
+            "backend_announced",
+            instance=announcement.instance,
+            service=announcement.service,
+            slots=announcement.slots,
+            sequence=announcement.sequence,
+            leaving=announcement.leaving,
+            cold_ms=round(announcement.cold_ms),
+        )
+    if announcement.leaving:
+        if backend is None:
+            # Later announcements of the same process are compared with it.
+            table.backend = models.Backend(
+                announcement.service,
+                announcement.address,
+                announcement.slots,
+                now_ms,
+                True,
+            )
+        drain_backend(tables, now_ms)
+    else:
+        register_backend(
+            tables,
+            announcement.service,
+            announcement.address,
+            announcement.slots,
+            ttl_ms,
+            now_ms,
+            is_new_process=not same_process,
+            cold_ms=announcement.cold_ms,
+        )
+    if table.backend is not None:
+        table.backend.instance = announcement.instance
+        table.backend.born_ms = announcement.born_ms
+        table.backend.sequence = announcement.sequence
+        table.backend.connect_failures = 0
+        _update_cold_until(tables, announcement.cold_ms, now_ms)
+
+
+def _must_be_confirmed(tables, announcement):
+    """Return whether an announcement may be late, from before a restart."""
+    table = tables.runs
+    return (
+        tables.confirms_announcements
+        and table.backend is None
+        and not announcement.leaving
+        and not announcements.follows(table.held_announcement, announcement)
+    )
+
+
+def _hold(table, announcement):
+    LOG.info(
+        "announcement_held",
+        instance=announcement.instance,
+        born_ms=announcement.born_ms,
+        sequence=announcement.sequence,
+    )
+    held = table.held_announcement
+    if held is None or not announcements.is_older(announcement, held):
+        table.held_announcement = announcement
+
+
+def confirm_backend(tables, announcement, ttl_ms, now_ms):
+    """Register the backend server that its health check has confirmed.
+
+    :param tables: the node's tables.
+    :param announcement:
+        :class:`~fescueyard.admission.announcements.Announcement`, built from
+        the health check; that of the server itself is used if it is held.
+    :param ttl_ms: time without an announcement after which it counts as gone,
+        in ms.
+    :param now_ms: the present time.
+    """
+    held = tables.runs.held_announcement
+    if held is not None and held.instance == announcement.instance:
+        announcement = held
+    tables.confirms_announcements = False
+    apply_announcement(tables, announcement, ttl_ms, now_ms)
+
+
+def _update_cold_until(tables, cold_ms, now_ms):
+    """Set the end of the slow start; publish it if it is much later.
+
+    An end that has passed counts as the present, so the announcements of a
+    warm backend server publish nothing.
+    """
+    backend = tables.runs.backend
+    known_ms = max(backend.cold_until_ms or now_ms, now_ms)
+    backend.cold_until_ms = now_ms + cold_ms
+    if backend.cold_until_ms - known_ms > COLD_CHANGE_MIN_MS:
+        _publish_backend(tables, now_ms)
+
+
+def backend_left(tables, instance, now_ms):
+    """Drain a backend server that reported that it is leaving.
+
+    :param tables: the node's tables.
+    :param instance: its id; the report of another instance is ignored.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    held = table.held_announcement
+    if held is not None and held.instance == instance:
+        table.held_announcement = None
+    if table.backend is not None and table.backend.instance == instance:
+        LOG.info("backend_left", instance=instance)
+        drain_backend(tables, now_ms)
+
+
+def drain_backend(tables, now_ms):
+    """Stop new work for the backend server; running requests continue.
+
+    The queued ones are rejected by the event.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    if table.backend is None or table.backend.leaving:
+        return
+    table.backend.leaving = True
+    _publish_backend(tables, now_ms)
+    tables.events.append(BackendDrained())
+
+
+def close(tables, now_ms):
+    """Stop accepting work for the backend server because the node is stopping.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    tables.runs.closed = True
+    drain_backend(tables, now_ms)
+    membership.update_own_member(tables, now_ms, accepting=False)
+
+
+def probe_after_failure(tables, forward):
+    """Probe whether a run was interrupted by a crash of the server.
+
+    :param tables: the node's tables.
+    :param forward: :class:`~fescueyard.admission.messages.ForwardRequest`.
+    """
+    table = tables.runs
+    if not table.awaiting_probe and table.backend is not None:
+        tables.effects.append(effects.ProbeBackend(table.backend.address))
+    table.awaiting_probe.append(forward)
+
+
+def handle_probe_result(tables, accepted, now_ms):
+    """Handle the result of probing the backend server's address.
+
+    :param tables: the node's tables.
+    :param accepted: whether it accepts connections; otherwise a crash
+        interrupted its runs.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    awaiting_probe, table.awaiting_probe = table.awaiting_probe, []
+    if accepted:
+        return
+    LOG.warning("backend_crashed", runs=len(awaiting_probe))
+    for forward in awaiting_probe:
+        quarantine.record_crash(tables, forward, now_ms)
+    if table.backend is not None:
+        table.backend.connect_failures = CONNECT_FAILURES_MAX
+    drain_backend(tables, now_ms)
+
+
+def record_connect_result(tables, code, now_ms):
+    """Drain a backend server that keeps refusing connections.
+
+    :param tables: the node's tables.
+    :param code: result code of a run.
+    :param now_ms: the present time.
+    """
+    backend = tables.runs.backend
+    if backend is None or not tables.routed:
+        return
+    if code is not codes.CONNECT_FAILED:
+        backend.connect_failures = 0
+        return
+    backend.connect_failures += 1
+    if backend.connect_failures >= CONNECT_FAILURES_MAX:
+        if not backend.leaving:
+            LOG.warning("backend_unreachable", instance=backend.instance)
+        drain_backend(tables, now_ms)
+
+
+@dispatch.handle.register
+def _handle_backend_expiry(event: BackendExpiryDue, tables, now_ms):
+    backend = tables.runs.backend
+    if backend is not None and now_ms >= backend.expires_at_ms:
+        drain_backend(tables, now_ms)
+
+
+def _publish_backend(tables, now_ms):
+    backend = tables.runs.backend
+    cold_ms = -1.0
+    if backend.cold_until_ms is not None:
+        cold_ms = max(0.0, backend.cold_until_ms - now_ms)
+    membership.update_own_member(
+        tables,
+        now_ms,
+        service=backend.service,
+        slots=backend.slots,
+        accepting=not (backend.leaving or tables.runs.closed),
+        cold_ms=cold_ms,
+    )
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -7,6 +7,7 @@
 import secrets
 
 from fescueyard.admission import discovery
+from fescueyard.admission import registration
 from fescueyard.admission import systems as admission
 from fescueyard.conf import settings as conf_settings
 from fescueyard.configuration import models as configuration_models
@@ -262,7 +263,7 @@
             :class:`~fescueyard.admission.announcements.Announcement`.
         :param now_ms: the present time.
         """
-        admission.apply_announcement(
+        registration.apply_announcement(
             self._tables,
             announcement,
             self.settings.announcement_ttl_ms,
@@ -277,7 +278,7 @@
         :param instance: id of the backend server.
         :param now_ms: the present time.
         """
-        admission.backend_left(self._tables, instance, now_ms)
+        registration.backend_left(self._tables, instance, now_ms)
 
     def _respond_to_backend(self, backend_handler, request, now_ms):
         response = backend_handler(self, request, now_ms)
@@ -349,7 +350,7 @@
         try:
             if path == "/-/announce" and request.method == "POST":
                 announcement = backend_api.parse_announcement(request.body)
-                admission.register_backend(
+                registration.register_backend(
                     tables,
                     announcement.service,
                     announcement.address,
@@ -358,7 +359,7 @@
                     now_ms,
                 )
             elif path == "/-/leave" and request.method == "POST":
-                admission.drain_backend(tables, now_ms)
+                registration.drain_backend(tables, now_ms)
             elif path == "/-/dump" and request.method == "GET":
                 return _json_response(self.dump().encode())
             elif path != "/-/status":
@@ -501,7 +502,7 @@
             instance=None if announcement is None else announcement.instance,
         )
         if announcement is not None and self._tables.runs.backend is None:
-            admission.confirm_backend(
+            registration.confirm_backend(
                 self._tables,
                 announcement,
                 self.settings.announcement_ttl_ms,
@@ -512,7 +513,7 @@
     def _probe_completed(self, task):
         now_ms = clock.now_ms()
         accepted = not task.cancelled() and task.result()
-        admission.handle_probe_result(self._tables, accepted, now_ms)
+        registration.handle_probe_result(self._tables, accepted, now_ms)
         self._process_pending(now_ms)
 
 
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -5,6 +5,7 @@
 
 import dataclasses
 
+from fescueyard.admission import registration
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import messages as configuration_messages
 from fescueyard.configuration import replica as configuration_replica
@@ -122,14 +123,14 @@
         )
         timers.schedule(tables.timers, close_at_ms, RunAdmissionClosed())
     else:
-        admission.close(tables, now_ms)
+        registration.close(tables, now_ms)
         limits.return_all_tokens(tables, now_ms)
     handle_events(tables, now_ms)
 
 
 @dispatch.handle.register
 def _close_run_admission(event: RunAdmissionClosed, tables, now_ms):
-    admission.close(tables, now_ms)
+    registration.close(tables, now_ms)
 
 
 def is_ready(tables):
--- a/tests/admission/test_announcements.py
+++ b/tests/admission/test_registration.py
@@ -4,7 +4,7 @@
 
 from fescueyard.admission import announcements
 from fescueyard.admission import discovery
-from fescueyard.admission import systems as admission
+from fescueyard.admission import registration
 from fescueyard.core import http
 from tests import setups
 
@@ -92,7 +92,7 @@
     tables = world.nodes["orders-zone-a"].tables
     tables.runs.backend = None
     for announcement in reported:
-        admission.apply_announcement(
+        registration.apply_announcement(
             tables, announcement, TTL_MS, world.now_ms
         )
     backend = tables.runs.backend
@@ -157,7 +157,7 @@
     reported, is_used = AFTER_RESTART[name]
     world, tables = _restarted_node()
     for announcement in reported:
-        admission.apply_announcement(
+        registration.apply_announcement(
             tables, announcement, TTL_MS, world.now_ms
         )
     backend = tables.runs.backend
@@ -166,11 +166,11 @@
 
 def test_server_that_left_a_restarted_node_is_not_used():
     world, tables = _restarted_node()
-    admission.apply_announcement(
+    registration.apply_announcement(
         tables, _announcement(sequence=5), TTL_MS, world.now_ms
     )
-    admission.backend_left(tables, "i-1", world.now_ms)
-    admission.apply_announcement(
+    registration.backend_left(tables, "i-1", world.now_ms)
+    registration.apply_announcement(
         tables, _announcement(sequence=6), TTL_MS, world.now_ms
     )
     assert tables.runs.backend is None
@@ -178,11 +178,11 @@
 
 def test_health_check_confirms_the_announcement_held():
     world, tables = _restarted_node()
-    admission.apply_announcement(
+    registration.apply_announcement(
         tables, _announcement(sequence=5, slots=33), TTL_MS, world.now_ms
     )
     checked = _announcement("i-1", born_ms=0, sequence=0, slots=16)
-    admission.confirm_backend(tables, checked, TTL_MS, world.now_ms)
+    registration.confirm_backend(tables, checked, TTL_MS, world.now_ms)
     backend = tables.runs.backend
     assert (backend.instance, backend.slots, backend.born_ms) == (
         "i-1",
@@ -195,10 +195,12 @@
     world = setups.start_routed_fleet(zones=("zone-a",))
     tables = world.nodes["orders-zone-a"].tables
     tables.runs.backend = None
-    admission.apply_announcement(tables, _announcement(), TTL_MS, world.now_ms)
-    admission.backend_left(tables, "i-other", world.now_ms)
+    registration.apply_announcement(
+        tables, _announcement(), TTL_MS, world.now_ms
+    )
+    registration.backend_left(tables, "i-other", world.now_ms)
     assert not tables.runs.backend.leaving
-    admission.backend_left(tables, "i-1", world.now_ms)
+    registration.backend_left(tables, "i-1", world.now_ms)
     assert tables.runs.backend.leaving
 
 
@@ -234,9 +236,9 @@
     announcement = discovery.announcement_from_response(
         tables, "127.0.0.1:1", healthy
     )
-    admission.apply_announcement(tables, announcement, TTL_MS, world.now_ms)
+    registration.apply_announcement(tables, announcement, TTL_MS, world.now_ms)
     assert tables.runs.backend.instance == "i-1"
-    admission.apply_announcement(
+    registration.apply_announcement(
         tables, _announcement(sequence=7, slots=33), TTL_MS, world.now_ms
     )
     assert tables.runs.backend.slots == 33
--- a/tests/routing/test_idle_cost.py
+++ b/tests/routing/test_idle_cost.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescueyard.admission import systems as admission
+from fescueyard.admission import registration
 from fescueyard.routing import messages
 from tests import setups
 
@@ -63,9 +63,9 @@
 def test_own_entry_without_a_change_is_not_published():
     world = _start_fleet_of_warm_servers(per_zone=1)
     node = world.nodes["orders-zone-a"]
-    admission.close(node.tables, world.now_ms)
+    registration.close(node.tables, world.now_ms)
     incarnation = node.tables.members.own.incarnation
-    admission.close(node.tables, world.now_ms)
+    registration.close(node.tables, world.now_ms)
     assert node.tables.members.own.incarnation == incarnation
 
 
--- a/tests/routing/test_membership.py
+++ b/tests/routing/test_membership.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from fescueyard.admission import systems as admission
+from fescueyard.admission import registration
 from fescueyard.core import codes
 from fescueyard.node import systems as node_systems
 from fescueyard.routing import membership
@@ -31,7 +31,7 @@
     _send_steadily(world, 500, calls)
     node = world.nodes[NODES[1]]
     node.backend.announces = False
-    admission.drain_backend(node.tables, world.now_ms)
+    registration.drain_backend(node.tables, world.now_ms)
     world._settle(node)
     left_at_ms = world.now_ms
     _send_steadily(world, 4_000, calls)
@@ -56,7 +56,7 @@
     calls = []
     node = world.nodes[NODES[1]]
     node.backend.announces = False
-    admission.drain_backend(node.tables, world.now_ms)
+    registration.drain_backend(node.tables, world.now_ms)
     world._settle(node)
     left_at_ms = world.now_ms
     for _ in range(40):
--- a/tests/routing/test_node_drain.py
+++ b/tests/routing/test_node_drain.py
@@ -3,7 +3,7 @@
 import collections
 
 from fescueyard.admission import announcements
-from fescueyard.admission import systems as admission
+from fescueyard.admission import registration
 from fescueyard.core import codes
 from fescueyard.node import systems as node_systems
 from fescueyard.routing import balancer
@@ -71,7 +71,7 @@
     announcement = announcements.Announcement(
         "new-instance", "orders", "127.0.0.1:1", SLOTS, 1, 1, False, cold_ms
     )
-    admission.apply_announcement(
+    registration.apply_announcement(
         node.tables, announcement, 3_000, world.now_ms
     )
     world._settle(node)
@@ -127,7 +127,7 @@
 def test_late_call_to_a_closed_node_runs_on_another_node():
     world = _world()
     node = world.nodes["orders-zone-b"]
-    admission.close(node.tables, world.now_ms)
+    registration.close(node.tables, world.now_ms)
     world._settle(node)
     call = world.call("orders-zone-b", "/a/x", KEY, host="fleet.example")
     world.run(500)
--- a/tests/world.py
+++ b/tests/world.py
@@ -14,6 +14,7 @@
 import urllib.parse
 
 from fescueyard.admission import announcements
+from fescueyard.admission import registration
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import state as states
 from fescueyard.control import systems as control_systems
@@ -430,7 +431,7 @@
     def _receive_announcement(self, node):
         backend = node.backend
         if backend.cold_ms is None:
-            admission.register_backend(
+            registration.register_backend(
                 node.tables,
                 backend.service,
                 "127.0.0.1:1",
@@ -450,7 +451,7 @@
             False,
             backend.cold_ms,
         )
-        admission.apply_announcement(
+        registration.apply_announcement(
             node.tables, announcement, BACKEND_TTL_MS, self.now_ms
         )
 
