Evaluate token demands of customers that changed, not of all

The cost grew with customers times messages. Now a grantor is chosen once for each shard and pass, the shard of a customer is kept, and between two reports only customers whose tokens were asked for are looked at. The tick no longer visits all nodes to find unreachable ones.

--- a/fescueyard/limits/grantors.py
+++ b/fescueyard/limits/grantors.py
@@ -12,19 +12,37 @@
 def grantor_of(tables, customer, now_ms):
     """Return the node that grants this node's tokens of a customer.
 
+    :param tables: the node's tables.
+    :param customer: name of the customer.
+    :param now_ms: the present time.
+    :returns: id of the node; the own id for requests to the fleet grantor.
+    """
+    return _grantor_of_shard(tables, shards.shard_of(customer), now_ms)
+
+
+def grantors_by_shard(tables, now_ms):
+    """List the nodes that grant this node's tokens, one for each shard.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: list of ids by shard number; see :func:`grantor_of`.
+    """
+    return [
+        _grantor_of_shard(tables, shard, now_ms)
+        for shard in range(shards.GRANTORS_PER_ZONE)
+    ]
+
+
+def _grantor_of_shard(tables, shard, now_ms):
+    """Choose a grantor that responds.
+
     That is a node of the same zone. When it does not respond, this node
     requests from the fleet grantor itself; when that does not respond either,
     from a grantor of another zone, which may still reach the fleet grantor.
     That is safe, since each grantor accounts for every holder alike. While
     this node has a fallback share in use, it does not turn to another zone.
-
-    :param tables: the node's tables.
-    :param customer: name of the customer.
-    :param now_ms: the present time.
-    :returns: id of the node; the own id for requests to the fleet grantor.
     """
     table = tables.limits
-    shard = shards.shard_of(customer)
     own_id = tables.members.own.node_id
     node_id = _grantor(tables, shard, True)
     if node_id != own_id and not _has_failed(table, node_id, now_ms):
--- a/fescueyard/limits/models.py
+++ b/fescueyard/limits/models.py
@@ -210,6 +210,8 @@
     :param zone_buckets: tokens it holds as its zone's grantor, by customer.
     :param node_buckets: tokens it holds for its own calls, by customer.
     :param waiting: calls that wait, by customer, oldest first.
+    :param changed: customers whose tokens were asked for since the last
+        report to their grantor.
     :param links: :class:`GrantorLink` by node id of the grantor; the fleet
         grantor has the key :data:`FLEET_LINK`.
     :param grantors: chosen grantors by shard and whether in the own zone.
@@ -230,6 +232,7 @@
     waiting: dict[str, list[WaitingCall]] = dataclasses.field(
         default_factory=dict
     )
+    changed: set[str] = dataclasses.field(default_factory=set)
     links: dict[str, GrantorLink] = dataclasses.field(default_factory=dict)
     grantors: dict[tuple[int, bool], str] = dataclasses.field(
         default_factory=dict
--- a/fescueyard/limits/shards.py
+++ b/fescueyard/limits/shards.py
@@ -1,10 +1,13 @@
 """Shards of customers; each zone has one grantor for each shard."""
 
+import functools
 import hashlib
 
 GRANTORS_PER_ZONE = 4
+CACHED_CUSTOMERS_MAX = 16_384
 
 
+@functools.lru_cache(CACHED_CUSTOMERS_MAX)
 def shard_of(customer):
     """Return the shard of a customer.
 
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -43,6 +43,7 @@
         decisions.publish(tables, decided, None, now_ms)
         return
     bucket = grantors.own_bucket(tables, customer, now_ms)
+    tables.limits.changed.add(customer)
     local_buckets.record_demand(bucket, 1, now_ms)
     _add_fallback_tokens(tables, customer, now_ms)
     waiting = tables.limits.waiting.get(customer, [])
@@ -276,6 +277,7 @@
     zone_bucket = tables.limits.zone_buckets.setdefault(
         demand.customer, models.LocalBucket()
     )
+    tables.limits.changed.add(demand.customer)
     local_buckets.drop_expired(zone_bucket, now_ms)
     _add_fallback_tokens(tables, demand.customer, now_ms)
     previous = zone_bucket.granted.get(request.holder_id)
--- a/fescueyard/limits/token_requests.py
+++ b/fescueyard/limits/token_requests.py
@@ -9,6 +9,7 @@
 from fescueyard.limits import local_buckets
 from fescueyard.limits import messages
 from fescueyard.limits import models
+from fescueyard.limits import shards
 
 LOG = logs.ComponentLogger("limits")
 
@@ -41,9 +42,10 @@
     for customer in tables.limits.waiting:
         # Creates the bucket if the grantor changed while the calls waited.
         grantors.own_bucket(tables, customer, now_ms)
+    grantor_ids = grantors.grantors_by_shard(tables, now_ms)
     by_grantor = {}
     for customer in tables.limits.node_buckets:
-        grantor_id = grantors.grantor_of(tables, customer, now_ms)
+        grantor_id = grantor_ids[shards.shard_of(customer)]
         if grantor_id != own_id:
             by_grantor.setdefault(grantor_id, []).append(customer)
     for grantor_id, customers in by_grantor.items():
@@ -116,22 +118,24 @@
         record_failure(tables, key, link, now_ms)
     if now_ms < link.request_due_ms:
         return
-    drafts = []
-    for customer in customers:
-        draft = _draft_demand(
-            tables, customer, buckets[customer], prefetch_s, now_ms
-        )
-        if draft is not None:
-            drafts.append(draft)
     to_fleet = key == models.FLEET_LINK
     heartbeat = to_fleet and _is_heartbeat_due(tables, now_ms)
+    if now_ms < link.report_due_ms and not heartbeat:
+        # Only what has changed since the last report can be urgent.
+        changed = [
+            customer
+            for customer in customers
+            if _has_changed(tables, customer, buckets[customer])
+        ]
+        drafts = _draft_demands(tables, changed, buckets, prefetch_s, now_ms)
+        if not any(draft.urgent for draft in drafts):
+            return
+    drafts = _draft_demands(tables, customers, buckets, prefetch_s, now_ms)
+    tables.limits.changed.difference_update(customers)
     if not drafts:
         _drop_idle_buckets(customers, buckets, now_ms)
         if not heartbeat:
             return
-    urgent = heartbeat or any(item.urgent for item in drafts)
-    if now_ms < link.report_due_ms and not urgent:
-        return
     address = _address(tables, key)
     if address is None:
         return
@@ -160,6 +164,31 @@
     tables.effects.append(effects.SendMessage(address, request))
 
 
+def _has_changed(tables, customer, bucket):
+    """Return whether a customer may need tokens since the last report."""
+    table = tables.limits
+    return (
+        customer in table.changed or customer in table.waiting or bucket.wanted
+    )
+
+
+def _draft_demands(tables, customers, buckets, prefetch_s, now_ms):
+    """Draft what is due for some customers; skip those that are idle."""
+    drafts = []
+    for customer in customers:
+        bucket = buckets[customer]
+        if not (
+            bucket.tokens
+            or bucket.reported_held
+            or _has_changed(tables, customer, bucket)
+        ):
+            continue
+        draft = _draft_demand(tables, customer, bucket, prefetch_s, now_ms)
+        if draft is not None:
+            drafts.append(draft)
+    return drafts
+
+
 def _draft_demand(tables, customer, bucket, prefetch_s, now_ms):
     """Draft a report and demand for a customer; None if nothing is due."""
     local_buckets.drop_expired(bucket, now_ms)
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -129,6 +129,7 @@
     if target is not None:
         target.unreachable_until_ms = now_ms + UNREACHABLE_MS
         target.redial_due_ms = now_ms + REDIAL_INTERVAL_MS
+        tables.members.unreachable[node_id] = None
 
 
 def mark_reachable(tables, node_id):
@@ -149,8 +150,11 @@
     :param now_ms: the present time.
     """
     table = tables.members
-    for node_id, target in table.targets.items():
-        if target.unreachable_until_ms > now_ms >= target.redial_due_ms:
+    for node_id in list(table.unreachable):
+        target = table.targets.get(node_id)
+        if target is None or target.unreachable_until_ms <= now_ms:
+            del table.unreachable[node_id]
+        elif now_ms >= target.redial_due_ms:
             target.redial_due_ms = now_ms + REDIAL_INTERVAL_MS
             member = table.rows.get(node_id)
             if member is not None:
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -138,6 +138,8 @@
     :param started_at_ms: time of the first tick; None before it.
     :param utilization_by_service: moving average of the share of slots in
         use, by service.
+    :param unreachable: ids of nodes whose stream broke or could not be
+        opened; those among them that are reachable again are removed.
     :param quality: what the servers of a service reported, by service and
         priority.
     :param decays_to_average: an old reported load decays towards the
@@ -169,6 +171,7 @@
     utilization_by_service: dict[str, float] = dataclasses.field(
         default_factory=dict, metadata=dumps.written_as("use_of_service")
     )
+    unreachable: dict[str, None] = dataclasses.field(default_factory=dict)
     quality: dict[tuple[str, int], ClassQuality] = dataclasses.field(
         default_factory=dict
     )
