Start a whole fleet without gossip about everyone, and sync deltas

Cause: each process passed on the entry of each other one that it learnt, 24 times at 200, also what it had from a whole table, and asked for the whole table each half second. Now a starting process passes on its own entry and failures only; it asks the seeds often, which send what changed since their last answer; control processes keep their tables alike by the same means.

--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -32,6 +32,7 @@
 from fescueyard.limits import messages as limit_messages
 from fescueyard.routing import membership
 from fescueyard.routing import messages as routing_messages
+from fescueyard.routing import table_sync
 
 LOG = logs.ComponentLogger("control")
 
@@ -278,6 +279,7 @@
             _assign_claims(tables, now_ms)
         repair.tick(tables, now_ms)
     membership.tick(tables, now_ms)
+    table_sync.tick(tables, now_ms)
     tables.events.clear()
     _request_freshness(tables, now_ms)
     _request_join(tables, now_ms)
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -19,6 +19,7 @@
 from fescueyard.routing import balancer
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
+from fescueyard.routing import table_sync
 
 LOG = logs.ComponentLogger("node")
 
@@ -43,6 +44,7 @@
     for event in timers.pop_due(tables.timers, now_ms):
         dispatch.handle(event, tables, now_ms)
     membership.tick(tables, now_ms)
+    table_sync.tick(tables, now_ms)
     limits.tick(tables, now_ms)
     if tables.routed:
         admission.tick(tables, now_ms)
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -5,6 +5,7 @@
 refutes that with a higher incarnation. Updates are piggybacked on probes and
 sent in small gossip datagrams. The cost per process does not grow with the
 fleet, except that each update is retransmitted a logarithmic number of times.
+:mod:`fescueyard.routing.table_sync` compares whole tables.
 """
 
 import dataclasses
@@ -29,11 +30,9 @@
 GOSSIP_FANOUT = 3
 MEMBERS_PER_DATAGRAM = 6
 RETRANSMIT_FACTOR = 3
-SYNC_INTERVAL_MS = 10_000
-SYNC_INTERVAL_FAST_MS = 500
-# All processes may have started at the same time, and the first one queried
-# then knows few members, so the fast interval is used for a while.
-STARTUP_SYNC_MS = 5_000
+# Time after its start in which a process learns of changes from the tables of
+# others, and passes on no more than what they do not tell it.
+STARTUP_MS = 5_000
 LOST_MEMBER_RETENTION_MS = 600_000
 SWEEP_INTERVAL_MS = 200
 _STATUS_ORDER = {
@@ -99,8 +98,6 @@
     if now_ms >= table.gossip_due_ms:
         table.gossip_due_ms = now_ms + GOSSIP_INTERVAL_MS
         _gossip(tables)
-    if now_ms >= table.sync_due_ms:
-        _request_sync(tables, now_ms)
 
 
 def alive_others(table):
@@ -146,7 +143,7 @@
 
 @dispatch.receive.register
 def _receive_ping(message: messages.Ping, tables, sender, now_ms):
-    _merge(tables, message.members, now_ms)
+    merge(tables, message.members, now_ms)
     reply_to = _address_of(tables, message.sender_id)
     if reply_to is None:
         # An unknown sender puts its own member entry first.
@@ -164,7 +161,7 @@
 
 @dispatch.receive.register
 def _receive_ack(message: messages.Ack, tables, sender, now_ms):
-    _merge(tables, message.members, now_ms)
+    merge(tables, message.members, now_ms)
     table = tables.members
     relayed = table.relayed_probes.pop(message.probe_id, None)
     if relayed is not None:
@@ -190,29 +187,16 @@
 
 @dispatch.receive.register
 def _receive_gossip(message: messages.Gossip, tables, sender, now_ms):
-    _merge(tables, message.members, now_ms)
+    merge(tables, message.members, now_ms)
 
 
-@dispatch.receive.register
-def _receive_table_request(
-    message: messages.TableRequest, tables, sender, now_ms
-):
-    _merge(tables, message.members, now_ms)
-    members = []
-    if message.digest != tables.members.digest:
-        members = list(tables.members.rows.values())
-    response = messages.TableResponse(members)
-    tables.effects.append(effects.SendReply(sender.stream, response))
+def merge(tables, members, now_ms):
+    """Apply entries received from another process.
 
-
-@dispatch.receive.register
-def _receive_table_response(
-    message: messages.TableResponse, tables, sender, now_ms
-):
-    _merge(tables, message.members, now_ms)
-
-
-def _merge(tables, members, now_ms):
+    :param tables: the process's tables.
+    :param members: the entries.
+    :param now_ms: the present time.
+    """
     for member in members:
         if member.status not in _STATUS_ORDER:
             continue
@@ -268,9 +252,39 @@
         _declare_predecessor_dead(tables, member, now_ms)
         table.by_address[member.address] = member.node_id
     _index_service(table, previous, member, now_ms)
-    table.updates[member.node_id] = models.PendingUpdate(
-        member, _transmission_count(table)
-    )
+    table.changed_versions[member.node_id] = table.version
+    if _passes_on(table, previous, member, now_ms):
+        table.updates[member.node_id] = models.PendingUpdate(
+            member, _transmission_count(table)
+        )
+    else:
+        table.updates.pop(member.node_id, None)
+
+
+def is_starting(table, now_ms):
+    """Return whether this process started a short time ago.
+
+    :param table: the member table.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    if table.started_at_ms is None:
+        return True
+    return now_ms - table.started_at_ms < STARTUP_MS
+
+
+def _passes_on(table, previous, member, now_ms):
+    """Return whether an update is gossiped.
+
+    Load pattern: all processes start at the same time. If each one passed on
+    what it learns of all others, the work would grow with the square of the
+    fleet. While a process starts, it reads the tables of others often, and so
+    do those that start with it; only failures can't wait for that.
+    """
+    if member.node_id == table.own.node_id or not is_starting(table, now_ms):
+        return True
+    was_alive = previous is None or previous.status == models.ALIVE
+    return not (was_alive and member.status == models.ALIVE)
 
 
 def _declare_predecessor_dead(tables, member, now_ms):
@@ -378,6 +392,7 @@
             del table.rows[node_id]
             table.digest ^= models.member_digest(member)
             del table.status_since_ms[node_id]
+            table.changed_versions.pop(node_id, None)
             table.targets.pop(node_id, None)
 
 
@@ -479,27 +494,3 @@
                     table.rows[node_id].address, messages.Gossip(members)
                 )
             )
-
-
-def _request_sync(tables, now_ms):
-    """Compare the complete table with a random process or a seed.
-
-    Seeds remain among the candidates: after a network partition has healed,
-    only they reconnect sides that consider each other dead.
-    """
-    table = tables.members
-    others = alive_others(table)
-    alone = not others
-    starting = now_ms - (table.started_at_ms or 0.0) < STARTUP_SYNC_MS
-    table.sync_due_ms = now_ms + (
-        SYNC_INTERVAL_FAST_MS if alone or starting else SYNC_INTERVAL_MS
-    )
-    addresses = [table.rows[node_id].address for node_id in others]
-    use_seed = alone or tables.random.random() < 0.5
-    choices = table.seeds if use_seed and table.seeds else addresses
-    if not choices:
-        return
-    request = messages.TableRequest(table.digest, [table.own])
-    tables.effects.append(
-        effects.SendMessage(tables.random.choice(choices), request)
-    )
--- a/fescueyard/routing/messages.py
+++ b/fescueyard/routing/messages.py
@@ -84,22 +84,35 @@
 @wire.message(43)
 @dataclasses.dataclass(slots=True)
 class TableRequest:
-    """Request for the complete table unless the digests agree.
+    """Request for what changed in the receiver's table.
 
-    :param digest: digest of the requester's table.
+    :param digest: digest of the requester's table; nothing is sent when the
+        receiver's is the same.
     :param members: the requester's own entry.
+    :param responder_id: process that ``known_version`` is of; empty for none.
+    :param known_version: version of the receiver's table up to which the
+        requester has its entries.
     """
 
     digest: int
     members: list[Member]
+    responder_id: str = ""
+    known_version: int = 0
 
 
 @wire.message(44)
 @dataclasses.dataclass(slots=True)
 class TableResponse:
-    """The complete table; empty when the digests agree."""
+    """Entries that changed since the version that the requester knows.
+
+    :param members: the entries; empty when the digests agree.
+    :param responder_id: the process that responds.
+    :param version: version of its table; 0 when the digests agree.
+    """
 
     members: list[Member]
+    responder_id: str = ""
+    version: int = 0
 
 
 @wire.message(45)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -122,6 +122,18 @@
     report_at_ms: float = float("-inf")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownTable:
+    """How much of another process's member table was received.
+
+    :param process_id: the process.
+    :param version: version of its table with its latest response.
+    """
+
+    process_id: str
+    version: int
+
+
 @dataclasses.dataclass
 class MemberTable:
     """All processes of the fleet known to this one.
@@ -135,6 +147,8 @@
     :param digest: digest of all members, updated with each change.
     :param targets: :class:`TargetState` by node id.
     :param version: incremented with each change of a member.
+    :param changed_versions: version with which each member last changed.
+    :param known_tables: :class:`KnownTable` by address of the process.
     :param started_at_ms: time of the first tick; None before it.
     :param utilization_by_service: moving average of the share of slots in
         use, by service.
@@ -168,6 +182,10 @@
     )
     probe_order: list[str] = dataclasses.field(default_factory=list)
     version: int = 0
+    changed_versions: dict[str, int] = dataclasses.field(default_factory=dict)
+    known_tables: dict[str, KnownTable] = dataclasses.field(
+        default_factory=dict
+    )
     utilization_by_service: dict[str, float] = dataclasses.field(
         default_factory=dict, metadata=dumps.written_as("use_of_service")
     )
