Read on during a planned stop, and keep the listener's backlog

Two faults of the new connection code, found on reading it again. During a stop reading was paused while requests were open, so a caller that left was not noticed and its runs went on. Bytes are read and left unparsed now. The listener passes its own socket to the loop, which listened again with a backlog of 100 in place of 1,024.

--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -129,7 +129,6 @@
     def close_after_response(self):
         """Close the connection after its next responses."""
         self._closing = True
-        self._update_reading()
 
     def close_when_idle(self):
         """Close now, or after the responses to the requests in progress."""
@@ -186,8 +185,13 @@
         self._update_reading()
 
     def _is_blocked(self):
-        """Return whether requests that arrive now have to wait."""
-        return bool(self._waiting) or self._is_full()
+        """Return whether requests that arrive now have to wait.
+
+        Once the next responses close the connection, they wait forever: they
+        count as unread. Reading on shows when the caller leaves.
+        """
+        is_ending = self._closing and bool(self._exchanges)
+        return is_ending or bool(self._waiting) or self._is_full()
 
     def _is_full(self):
         return (
@@ -278,9 +282,8 @@
     def _update_reading(self):
         if self._transport is None or self._transport.is_closing():
             return
-        stopped = self._closing and bool(self._exchanges)
-        full = len(self._unparsed) > READ_AHEAD_BYTES_MAX
-        if not self._lingering and (stopped or full):
+        is_full = len(self._unparsed) > READ_AHEAD_BYTES_MAX
+        if is_full and not self._lingering:
             self._transport.pause_reading()
         else:
             self._transport.resume_reading()
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -42,7 +42,9 @@
             (address.host, address.port), backlog=BACKLOG_CONNECTIONS
         )
         self._server = await loop.create_server(
-            self._new_connection, sock=self._socket
+            self._new_connection,
+            sock=self._socket,
+            backlog=BACKLOG_CONNECTIONS,
         )
         self._sweep()
 
