--- a/tests/pressure/test_entry.py
+++ b/tests/pressure/test_entry.py
@@ -212,7 +212,7 @@
     assert served["urgent"] >= 0.9
 
 
-@pytest.mark.xfail(reason="KNOWN-RED.txt: 0.79 to 0.84 served, issue 9")
+@pytest.mark.xfail(reason="KNOWN-RED.txt: issue 21")
 @pytest.mark.parametrize("seed", range(3))
 def test_surge_spares_important_work_of_longer_chains(seed, monkeypatch):
     """Important requests need 0.6 of the deep service's capacity."""
