--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -96,55 +96,27 @@
     table = tables.runs
     backend = table.backend
     if announcements.is_outdated(backend, announcement):
-        LOG.info(
-            "announcement_outdated",
-            instance=announcement.instance,
-            born_ms=announcement.born_ms,
-            sequence=announcement.sequence,
-            known=backend.instance,
-            known_born_ms=backend.born_ms,
-            known_sequence=backend.sequence,
-        )
+        _log_outdated(backend, announcement)
         return
     if _must_be_confirmed(tables, announcement):
         _hold(table, announcement)
         return
     table.held_announcement = None
-    same_process = (
+    is_same_process = (
         backend is not None
         and backend.instance == announcement.instance
         and backend.born_ms == announcement.born_ms
     )
-    if same_process and backend.leaving and not announcement.leaving:
+    if is_same_process and backend.leaving and not announcement.leaving:
         # The process is draining or has ended; only a later process may
         # register. One that was drained because it refused connections may
         # register again.
         if not backend.connect_failures:
             return
-    is_known = (
-        same_process and not backend.leaving and not announcement.leaving
-    )
-    if not is_known:
-        LOG.info(
-            "backend_announced",
-            instance=announcement.instance,
-            service=announcement.service,
-            slots=announcement.slots,
-            sequence=announcement.sequence,
-            leaving=announcement.leaving,
-            cold_ms=round(announcement.cold_ms),
-        )
+    if not is_same_process or backend.leaving or announcement.leaving:
+        _log_announced(announcement)
     if announcement.leaving:
-        if backend is None:
-            # Later announcements of the same process are compared with it.
-            table.backend = models.Backend(
-                announcement.service,
-                announcement.address,
-                announcement.slots,
-                now_ms,
-                True,
-            )
-        drain_backend(tables, now_ms)
+        _apply_leaving(tables, announcement, now_ms)
     else:
         register_backend(
             tables,
@@ -153,15 +125,52 @@
             announcement.slots,
             ttl_ms,
             now_ms,
-            is_new_process=not same_process,
+            is_new_process=not is_same_process,
             cold_ms=announcement.cold_ms,
         )
-    if table.backend is not None:
-        table.backend.instance = announcement.instance
-        table.backend.born_ms = announcement.born_ms
-        table.backend.sequence = announcement.sequence
-        table.backend.connect_failures = 0
-        _update_cold_until(tables, announcement.cold_ms, now_ms)
+    table.backend.instance = announcement.instance
+    table.backend.born_ms = announcement.born_ms
+    table.backend.sequence = announcement.sequence
+    table.backend.connect_failures = 0
+    _update_cold_until(tables, announcement.cold_ms, now_ms)
+
+
+def _apply_leaving(tables, announcement, now_ms):
+    """Drain the backend server, or record that an unknown one is leaving."""
+    if tables.runs.backend is None:
+        # Later announcements of the same process are compared with it.
+        tables.runs.backend = models.Backend(
+            announcement.service,
+            announcement.address,
+            announcement.slots,
+            now_ms,
+            True,
+        )
+    drain_backend(tables, now_ms)
+
+
+def _log_outdated(backend, announcement):
+    LOG.info(
+        "announcement_outdated",
+        instance=announcement.instance,
+        born_ms=announcement.born_ms,
+        sequence=announcement.sequence,
+        known=backend.instance,
+        known_born_ms=backend.born_ms,
+        known_sequence=backend.sequence,
+    )
+
+
+def _log_announced(announcement):
+    LOG.info(
+        "backend_announced",
+        instance=announcement.instance,
+        service=announcement.service,
+        slots=announcement.slots,
+        sequence=announcement.sequence,
+        leaving=announcement.leaving,
+        cold_ms=round(announcement.cold_ms),
+    )
 
 
 def _must_be_confirmed(tables, announcement):
--- a/fescueyard/limits/token_requests.py
+++ b/fescueyard/limits/token_requests.py
@@ -168,7 +168,9 @@
     """Return whether a customer may need tokens since the last report."""
     table = tables.limits
     return (
-        customer in table.changed or customer in table.waiting or bucket.wanted
+        customer in table.changed
+        or customer in table.waiting
+        or bucket.wanted > 0
     )
 
 
