--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,7 @@
 
 from benchmarks import report
 
-BENCHMARKS = ("two_hops", "policy", "slopes", "pulls")
+BENCHMARKS = ("two_hops", "pipelining", "policy", "slopes", "pulls")
 
 
 def main():
