Prefer a free slot to a queue, and compare with the better servers

Failing was the median, and each node knew only the server of its own zone. A server without a free slot now counts for more than a slow one with some.

--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -3,10 +3,10 @@
 Of two candidates drawn at random the less loaded one is chosen (power of two
 choices). Load is the value reported with the candidate's last response,
 decayed by its age, or the number of this node's outstanding attempts if that
-is larger. A server that is slower or fails more than others of its service
-counts as more loaded (:mod:`fescueyard.routing.outliers`). The node's own
-zone is preferred unless its load per slot is higher
-by more than :data:`CROSS_ZONE_PENALTY`.
+is larger. A server that is slower or fails more than others of its service, or
+has no free slot, counts as more loaded (:mod:`fescueyard.routing.outliers`).
+The node's own zone is preferred unless its load per slot is higher by more
+than :data:`CROSS_ZONE_PENALTY`.
 """
 
 from fescueyard.core import effects
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -69,15 +69,16 @@
     """Reports of the backend servers of a service for runs of one priority.
 
     :param reports: the latest one of each server, by node id.
-    :param latency_ms: median of their latencies; 0 before the first report.
-    :param failure_share: median of their shares of failed runs.
-    :param medians_at_ms: when the medians were calculated.
+    :param latency_ms: lower quartile of their latencies; 0 before the first
+        report.
+    :param failure_share: lower quartile of their shares of failed runs.
+    :param quartiles_at_ms: when the quartiles were calculated.
     """
 
     reports: dict[str, QualityReport] = dataclasses.field(default_factory=dict)
     latency_ms: float = 0.0
     failure_share: float = 0.0
-    medians_at_ms: float = float("-inf")
+    quartiles_at_ms: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
--- a/fescueyard/routing/outliers.py
+++ b/fescueyard/routing/outliers.py
@@ -5,28 +5,32 @@
 its number of requests in flight looks ordinary. Its own node sees every run,
 so each response carries the recent latency and share of failures there, and
 all nodes learn of it within a few requests of the fleet together. Only the
-difference from the median of the service counts: when all servers are slow or
+difference from the better servers of the service counts: when all are slow or
 fail alike, the cause lies further down the chain and no server is avoided.
-"""
 
-import statistics
+Second load pattern: the service as a whole is short of slots. A free slot of a
+slow server is then worth more than a place in the queue of a fast one, since
+work that queues is soon turned away.
+"""
 
 from fescueyard.routing import models
 
-# Interval at which the medians of a service with many servers are calculated
+# Interval at which the quartiles of a service with many servers are calculated
 # again; with few servers each response may move them.
-MEDIANS_INTERVAL_MS = 100
+QUARTILES_INTERVAL_MS = 100
 FEW_SERVERS_MAX = 8
 # Half-life of what a server last reported, so that it is tried again.
 REPORT_HALF_LIFE_MS = 3_000
 SLOWNESS_MIN = 0.5
 SLOWNESS_MAX = 8.0
 # Shares of failures up to these, added together, can't be told from chance.
-FAILURE_TOLERANCE = 0.03
-FAILURE_TOLERANCE_PER_MEDIAN = 2.0
+FAILURE_TOLERANCE = 0.05
+FAILURE_TOLERANCE_PER_QUARTILE = 2.0
 # Load per slot that a server may carry more than others before work goes to
 # one that fails this share of it in addition.
 LOAD_PER_FAILURE_SHARE = 5.0
+# Load per slot that a server without a free slot counts in addition.
+QUEUE_PENALTY = 2.0
 
 
 def record_report(table, node_id, report, now_ms):
@@ -46,15 +50,15 @@
     quality.reports[node_id] = report
     if (
         len(quality.reports) <= FEW_SERVERS_MAX
-        or now_ms - quality.medians_at_ms >= MEDIANS_INTERVAL_MS
+        or now_ms - quality.quartiles_at_ms >= QUARTILES_INTERVAL_MS
     ):
-        _update_medians(table, quality, report.service, now_ms)
+        _update_quartiles(table, quality, report.service, now_ms)
     target.report = report
     target.report_at_ms = now_ms
 
 
 def weigh(table, target, load_per_slot, now_ms):
-    """Return the load of a server as an ordinary one of its service has it.
+    """Return the load of a server as a good one of its service has it.
 
     :param table: :class:`~fescueyard.routing.models.MemberTable`.
     :param target: :class:`~fescueyard.routing.models.TargetState`.
@@ -63,6 +67,8 @@
     :returns: a load per slot that can be compared between servers.
     """
     report = target.report
+    if load_per_slot > 1.0:
+        load_per_slot += QUEUE_PENALTY
     if report is None:
         return load_per_slot
     quality = table.quality[report.service, report.priority]
@@ -74,7 +80,7 @@
 
 
 def _slowness(report, quality):
-    """Return the ratio of a server's latency to the median."""
+    """Return the ratio of a server's latency to the lower quartile."""
     if not report.latency_ms or not quality.latency_ms:
         return 1.0
     ratio = report.latency_ms / quality.latency_ms
@@ -85,14 +91,14 @@
     """Return the share of failures above what is ordinary."""
     tolerated_share = (
         FAILURE_TOLERANCE
-        + FAILURE_TOLERANCE_PER_MEDIAN * quality.failure_share
+        + FAILURE_TOLERANCE_PER_QUARTILE * quality.failure_share
     )
     return max(0.0, report.failure_share - tolerated_share)
 
 
-def _update_medians(table, quality, service, now_ms):
-    """Calculate the medians over the servers that are still in use."""
-    quality.medians_at_ms = now_ms
+def _update_quartiles(table, quality, service, now_ms):
+    """Calculate the lower quartiles over the servers that are in use."""
+    quality.quartiles_at_ms = now_ms
     in_use = table.by_service.get(service, {})
     quality.reports = {
         node_id: report
@@ -102,9 +108,16 @@
     if not quality.reports:
         return
     reports = quality.reports.values()
-    quality.failure_share = statistics.median_low(
-        report.failure_share for report in reports
-    )
-    quality.latency_ms = statistics.median_low(
-        report.latency_ms for report in reports
+    quality.latency_ms = _lower_quartile(
+        [report.latency_ms for report in reports]
     )
+    failure_shares = [report.failure_share for report in reports]
+    # Servers of other zones may not have been tried; they count as faultless,
+    # so that a failing one nearby is not all that is known.
+    failure_shares += [0.0] * (len(in_use) - len(failure_shares))
+    quality.failure_share = _lower_quartile(failure_shares)
+
+
+def _lower_quartile(values):
+    ordered = sorted(values)
+    return ordered[(len(ordered) - 1) // 4]
--- a/tests/routing/test_outliers.py
+++ b/tests/routing/test_outliers.py
@@ -69,6 +69,52 @@
     assert _share_of_runs(world, calls, BAD) <= 0.03
 
 
+@pytest.mark.parametrize("seed", range(3))
+def test_two_of_three_servers_that_spoil_responses_get_little_work(seed):
+    world = setups.start_routed_fleet(
+        seed,
+        routes=[("a", {"idempotent": False})],
+        slots=SLOTS,
+        service_ms=SERVICE_MS,
+    )
+    for name in ("orders-zone-a", "orders-zone-b"):
+        world.nodes[name].backend.spoiled_share = 0.2
+    calls = _call_steadily(world, SECONDS)
+    assert _share_of_runs(world, calls, "orders-zone-c") >= 0.8
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_slots_of_a_slow_server_are_used_before_work_queues(seed):
+    """The load needs 0.9 of all slots, those of the slow server included."""
+    slowdown = 2.0
+    world = setups.start_routed_fleet(
+        seed,
+        routes=[("a", {"idempotent": False, "timeout_ms": 3_000.0})],
+        slots=SLOTS,
+        service_ms=SERVICE_MS,
+        zones=("zone-a", "zone-b"),
+        concurrency_share_min=1.0,
+    )
+    world.nodes["orders-zone-b"].backend.slowdown = slowdown
+    capacity_per_s = SLOTS * 1_000 / SERVICE_MS * (1 + 1 / slowdown)
+    load_per_s = 0.9 * capacity_per_s
+    calls = []
+    for number in range(int(SECONDS * load_per_s)):
+        calls.append(
+            world.call(
+                "orders-zone-a",
+                f"/a/{number}",
+                KEY,
+                "POST",
+                host="fleet.example",
+            )
+        )
+        world.run(1_000 / load_per_s)
+    world.run(3_500)
+    answered = [call for call in calls if call.response.status == 200]
+    assert len(answered) >= 0.97 * len(calls)
+
+
 @pytest.mark.parametrize("seed", range(3))
 def test_server_gets_its_share_again_once_it_has_recovered(seed):
     world = _start_fleet(seed)
