Count messages sent by kind and by zone

Change: streams and datagrams report what they send; messages and bytes by class and by own, other or unknown zone stand on the metrics address and in the dump. A counter costs two lookups a message.

--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -23,6 +23,7 @@
 from fescueyard.core import logs
 from fescueyard.core import operators
 from fescueyard.routing import membership
+from fescueyard.routing import traffic
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
 from fescueyard.transport import streams
@@ -164,6 +165,15 @@
         """Handle a datagram."""
         self._receive(message, "", None)
 
+    def message_sent(self, peer_id, message, payload_bytes):
+        """Count a message sent on a stream."""
+        traffic.record_sent(self._tables, peer_id, message, payload_bytes)
+
+    def datagram_sent(self, address, message, payload_bytes):
+        """Count a datagram."""
+        peer_id = self._tables.members.by_address.get(address)
+        traffic.record_sent(self._tables, peer_id, message, payload_bytes)
+
     def peer_identified(self, address, peer_id):
         """Record which process listens at an address."""
         membership.record_peer(
--- a/fescueyard/control/exposition.py
+++ b/fescueyard/control/exposition.py
@@ -4,6 +4,7 @@
 from fescueyard.control import systems
 from fescueyard.core import exposition
 from fescueyard.limits import fallback_leases
+from fescueyard.routing import traffic
 
 
 def samples(tables, now_ms):
@@ -31,4 +32,5 @@
         ),
         "members_alive": tables.members.nodes_alive,
     }
-    return [exposition.sample(name, value) for name, value in values.items()]
+    lines = [exposition.sample(name, value) for name, value in values.items()]
+    return lines + traffic.samples(tables.traffic)
--- a/fescueyard/control/tables.py
+++ b/fescueyard/control/tables.py
@@ -11,6 +11,7 @@
 from fescueyard.limits import models as limit_models
 from fescueyard.routing import messages as routing_messages
 from fescueyard.routing import models as routing_models
+from fescueyard.routing import traffic as routing_traffic
 
 FRESHNESS_REQUESTS_MAX = 64
 
@@ -158,6 +159,7 @@
     :param fleet_grantor: token buckets of the fleet grantor, used while this
         process leads.
     :param events: events about lost members, which a control process ignores.
+    :param traffic: what this process has sent to others.
     :param applied_bytes: size of the entries applied since the last snapshot.
     :param pending_proposals: proposed changes, by log index.
     :param forwarded_changes: changes forwarded to the leader, by request id.
@@ -179,6 +181,9 @@
     random: random.Random
     applied_index: int = 0
     applied_bytes: int = 0
+    traffic: routing_traffic.TrafficTable = dataclasses.field(
+        default_factory=routing_traffic.TrafficTable
+    )
     freshness: FreshnessTable = dataclasses.field(
         default_factory=FreshnessTable
     )
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -34,6 +34,7 @@
 from fescueyard.routing import balancer
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
+from fescueyard.routing import traffic
 from fescueyard.transport import backend_client
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
@@ -322,6 +323,15 @@
             LOG.warning("Datagram refused.", detail=error.detail)
         self._process_pending(now_ms)
 
+    def message_sent(self, peer_id, message, payload_bytes):
+        """Count a message sent on a stream."""
+        traffic.record_sent(self._tables, peer_id, message, payload_bytes)
+
+    def datagram_sent(self, address, message, payload_bytes):
+        """Count a datagram."""
+        peer_id = self._tables.members.by_address.get(address)
+        traffic.record_sent(self._tables, peer_id, message, payload_bytes)
+
     def peer_identified(self, address, peer_id):
         """Record which process responds at an address."""
         membership.record_peer(
--- a/fescueyard/node/exposition.py
+++ b/fescueyard/node/exposition.py
@@ -2,6 +2,7 @@
 
 from fescueyard.configuration import replica
 from fescueyard.core import exposition
+from fescueyard.routing import traffic
 
 QUANTILES = (50, 90, 99, 99.9)
 
@@ -26,6 +27,7 @@
         )
     count = histogram.get_total_count()
     lines.append(exposition.sample("call_latency_ms_count", count))
+    lines.extend(traffic.samples(tables.traffic))
     for name, value in _gauges(tables, now_ms).items():
         lines.append(exposition.sample(name, value))
     return lines
--- a/fescueyard/node/tables.py
+++ b/fescueyard/node/tables.py
@@ -19,6 +19,7 @@
 from fescueyard.routing import messages as routing_messages
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import routes as routing_routes
+from fescueyard.routing import traffic as routing_traffic
 
 
 @dataclasses.dataclass
@@ -57,6 +58,7 @@
         stop and refusing callers; from the settings.
     :param confirms_announcements: whether the first announcement of the
         backend server has to be confirmed, since this node was restarted.
+    :param traffic: what this process has sent to others.
     :param draining: whether the node is stopping and accepts no new work.
     :param draining_since_ms: when draining began.
     :param events: queue of events that this process has yet to handle.
@@ -96,6 +98,9 @@
     timers: core_timers.TimerTable = dataclasses.field(
         default_factory=core_timers.TimerTable
     )
+    traffic: routing_traffic.TrafficTable = dataclasses.field(
+        default_factory=routing_traffic.TrafficTable
+    )
     metrics: node_metrics.Metrics = dataclasses.field(
         default_factory=node_metrics.Metrics
     )
--- a/fescueyard/transport/datagrams.py
+++ b/fescueyard/transport/datagrams.py
@@ -19,10 +19,10 @@
     """Sends and receives messages as datagrams.
 
     Calls ``datagram_received(message)`` of the handler for authenticated
-    datagrams only.
+    datagrams only, and ``datagram_sent(address, message, payload_bytes)``.
 
     :param secret: cluster secret, bytes.
-    :param handler: object with the method above.
+    :param handler: object with the methods above.
     """
 
     def __init__(self, secret, handler):
@@ -79,6 +79,7 @@
         self._transport.sendto(
             self._mac(payload) + payload, (address.host, address.port)
         )
+        self._handler.datagram_sent(address_text, message, len(payload))
 
     def close(self):
         """Close the socket."""
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -121,6 +121,7 @@
         mac = handshake.frame_mac(self._key_out, self._sequence_out, payload)
         self._sequence_out += 1
         self._transport.write(LENGTH.pack(len(payload)) + mac + payload)
+        self._pool.message_sent(self, message, len(payload))
         if self._transport.get_write_buffer_size() > UNSENT_BYTES_MAX:
             LOG.warning(
                 "Stream aborted; the peer reads too slowly.", peer=self.peer_id
@@ -252,13 +253,14 @@
     """All streams of a process; dials on demand.
 
     The methods of the handler are ``message_received(stream, message)``,
+    ``message_sent(peer_id, message, payload_bytes)``,
     ``peer_identified(address, peer_id)``, ``stream_lost(stream)`` and
     ``message_unsent(address, message)``; the last is called only for messages
     of which no byte was sent.
 
     :param process_id: this process's id.
     :param secret: cluster secret, bytes.
-    :param handler: object with the four methods above.
+    :param handler: object with the five methods above.
     """
 
     def __init__(self, process_id, secret, handler):
@@ -359,6 +361,10 @@
         """Pass a message to the handler."""
         self._handler.message_received(stream, message)
 
+    def message_sent(self, stream, message, payload_bytes):
+        """Report a message written to a stream."""
+        self._handler.message_sent(stream.peer_id, message, payload_bytes)
+
     def _add_open(self, stream):
         self._open.add(stream)
         return stream
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -21,6 +21,7 @@
 
     def __init__(self):
         self.received = []
+        self.sent = []
         self.unsent = []
         self.lost = 0
 
@@ -28,6 +29,10 @@
         """Record a message."""
         self.received.append(message)
 
+    def message_sent(self, peer_id, message, payload_bytes):
+        """Record the size of a message."""
+        self.sent.append((peer_id, message, payload_bytes))
+
     def message_unsent(self, address, message):
         """Record a message that was not sent."""
         self.unsent.append(message)
@@ -70,6 +75,7 @@
 def test_message_is_delivered():
     receiver, sender, _ = asyncio.run(_send_through_relay())
     assert receiver.received == [MESSAGE]
+    assert sender.sent == [("taker", MESSAGE, len(wire.encode(MESSAGE)))]
     assert not sender.unsent
 
 
