Stop sending requests into a zone that doesn't respond

A stream breaks only once data has stayed unacknowledged for 1 s, and each far node is found out by itself: the last stream of one node broke 3.7 s after the cut, and requests were sent into it until then. They never arrived, but may have, so the answer is 502.

Change: routing/zone_health.py. When nothing was heard from a zone for 250 ms since a request was sent there, its nodes are probed each 100 ms; after three probes without any response the zone is silent and gets no request; without another server the call is refused as not run at once. A probe each 250 ms finds the zone again. A zone without requests isn't probed.

--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -33,6 +33,7 @@
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import outliers
+from fescueyard.routing import zone_health
 
 LOG = logs.ComponentLogger("ingress")
 
@@ -358,6 +359,7 @@
     call.tried_node_ids.add(member.node_id)
     call.attempt_count += 1
     balancer.attempt_started(tables, member.node_id, now_ms)
+    zone_health.request_sent(tables, member.zone, now_ms)
     forward = admission_messages.ForwardRequest(
         attempt.attempt_id,
         call.service,
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -20,6 +20,7 @@
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import table_sync
+from fescueyard.routing import zone_health
 
 LOG = logs.ComponentLogger("node")
 
@@ -49,6 +50,7 @@
     if tables.routed:
         admission.tick(tables, now_ms)
         balancer.tick(tables, now_ms)
+        zone_health.tick(tables, now_ms)
     claim_replica.tick(tables, now_ms)
     _pull_configuration(tables, now_ms)
     handle_events(tables, now_ms)
@@ -81,6 +83,8 @@
     :param now_ms: the present time.
     :raises StreamError: when the message is not for a node.
     """
+    if sender.peer_id:
+        zone_health.heard(tables, sender.peer_id)
     dispatch.receive(message, tables, sender, now_ms)
     handle_events(tables, now_ms)
 
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -12,6 +12,7 @@
 from fescueyard.core import effects
 from fescueyard.routing import models
 from fescueyard.routing import outliers
+from fescueyard.routing import zone_health
 
 LOAD_HALF_LIFE_MS = 200
 # Half-life of the weight of a backend server's last reported load; the rest of
@@ -44,7 +45,7 @@
     :returns: its :class:`~fescueyard.routing.messages.Member`, or None.
     """
     table = tables.members
-    candidates = _candidates(table, service, tried_node_ids, now_ms)
+    candidates = _candidates(tables, service, tried_node_ids, now_ms)
     if not candidates:
         return None
     own_zone = []
@@ -172,8 +173,10 @@
     """
     table = tables.members
     for node_id in table.by_service.get(service, ()):
-        if node_id not in tried_node_ids and _is_usable(
-            table, node_id, now_ms
+        if (
+            node_id not in tried_node_ids
+            and _is_usable(table, node_id, now_ms)
+            and not zone_health.is_silent(tables, table.rows[node_id].zone)
         ):
             return True
     return False
@@ -202,11 +205,13 @@
         target.reported_at_ms = now_ms
 
 
-def _candidates(table, service, tried_node_ids, now_ms):
+def _candidates(tables, service, tried_node_ids, now_ms):
+    table = tables.members
     node_ids = [
         node_id
         for node_id in table.by_service.get(service, ())
         if _is_usable(table, node_id, now_ms)
+        and not zone_health.is_silent(tables, table.rows[node_id].zone)
     ]
     untried = [
         node_id for node_id in node_ids if node_id not in tried_node_ids
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -15,6 +15,7 @@
 from fescueyard.core import effects
 from fescueyard.routing import messages
 from fescueyard.routing import models
+from fescueyard.routing import zone_health
 
 PROBE_INTERVAL_MS = 500
 INDIRECT_PROBE_DELAY_MS = 250
@@ -167,6 +168,7 @@
     if relayed is not None:
         ack = messages.Ack(relayed.probe_id, message.node_id, [])
         tables.effects.append(effects.SendDatagram(relayed.reply_to, ack))
+    zone_health.probe_answered(tables, message.probe_id)
     probe = table.probes.get(message.probe_id)
     if probe is not None and probe.node_id == message.node_id:
         del table.probes[message.probe_id]
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -123,6 +123,25 @@
     report_at_ms: float = float("-inf")
 
 
+@dataclasses.dataclass(slots=True)
+class ZoneState:
+    """What a node knows of its way to another zone.
+
+    :param unheard_since_ms: when the first request was sent there since the
+        zone was last heard; None when there was none.
+    :param silent: whether the zone doesn't respond at all.
+    :param probes_unanswered: probes sent since the zone was last heard.
+    :param probe_due_ms: when the next probe is sent.
+    :param probe_order: nodes to probe next, the last one first.
+    """
+
+    unheard_since_ms: float | None = None
+    silent: bool = False
+    probes_unanswered: int = 0
+    probe_due_ms: float = 0.0
+    probe_order: list[str] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownTable:
     """How much of another process's member table was received.
@@ -155,6 +174,9 @@
         use, by service.
     :param unreachable: ids of nodes whose stream broke or could not be
         opened; those among them that are reachable again are removed.
+    :param zones: ways to the other zones that requests were sent to.
+    :param zones_by_probe: zone of each probe that was sent to find out
+        whether a zone responds, since it was last heard.
     :param quality: what the servers of a service reported, by service and
         priority.
     :param decays_to_average: an old reported load decays towards the
@@ -191,6 +213,8 @@
         default_factory=dict, metadata=dumps.written_as("use_of_service")
     )
     unreachable: dict[str, None] = dataclasses.field(default_factory=dict)
+    zones: dict[str, ZoneState] = dataclasses.field(default_factory=dict)
+    zones_by_probe: dict[int, str] = dataclasses.field(default_factory=dict)
     quality: dict[tuple[str, int], ClassQuality] = dataclasses.field(
         default_factory=dict
     )
