--- a/tests/core/test_dumps.py
+++ b/tests/core/test_dumps.py
@@ -17,14 +17,14 @@
     " draining draining_since_ms"
     " effects events interface leave_notice_ms limits members metrics pressure"
     " process_id pull quarantine random retries routed routes runs"
-    " secure_random seeds service timers".split()
+    " secure_random seeds service timers traffic".split()
 )
 _CONTROL_KEYS = set(
     "applicants applied_bytes applied_index assignment consensus"
     " control_addresses effects events fleet freshness join_due_ms last_ask_id"
     " members outcomes own pending_asks pending_proposals pending_reads policy"
     " random removed_until_ms repair_due_ms save_failures save_retry_due_ms"
-    " state".split()
+    " state traffic".split()
 )
 # Names of fields whose keys differ, at any depth of the tables.
 _INNER_NAMES = set(
