--- a/tests/world.py
+++ b/tests/world.py
@@ -242,6 +242,10 @@
             self._schedule(1, lambda: self._announce(node))
         return node
 
+    def zone_of(self, name):
+        """Return the zone of a node or a control member."""
+        return self._zones[name]
+
     # Faults.
 
     def kill(self, name):
