Send no work to a server whose responses say that it leaves

A server that leaves says so in all its responses.

The server's own node drains it from the first such response on, a refusal or the answer to the health path included, and nodes that had such a response send that along with their requests, so that a restarted node learns of it.

Evidence: with _drain_by_notice switched off the test lists requests that a node sent to the server more than 2 s after it had passed on such a response, with restarts and without.

--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -284,6 +284,8 @@
     server_limit.record_notice(
         table.server_limit, notice, run_started_at_ms, now_ms
     )
+    if notice.leaving:
+        _drain_by_notice(tables, "response", now_ms)
 
 
 def adopt_notice(tables, notice, now_ms):
@@ -302,6 +304,16 @@
     if backend.instance != notice.instance:
         return
     server_limit.adopt(tables.runs.server_limit, notice, now_ms)
+    if notice.leaving:
+        _drain_by_notice(tables, "other_node", now_ms)
+
+
+def _drain_by_notice(tables, basis, now_ms):
+    backend = tables.runs.backend
+    if backend is None or backend.leaving:
+        return
+    LOG.info("backend_leaving", instance=backend.instance, basis=basis)
+    drain_backend(tables, now_ms)
 
 
 def probe_after_failure(tables, forward):
--- a/tests/admission/test_server_limit.py
+++ b/tests/admission/test_server_limit.py
@@ -179,6 +179,55 @@
             assert float(call.header("retry-after")) > 0
 
 
+def _runs_after_leaving(world, calls):
+    """List runs at a leaving server from nodes that it had told long before.
+
+    Its own node is left out, as that may have been restarted since then.
+
+    :returns: targets of the requests.
+    """
+    told_at_ms = {}
+    for call in calls:
+        if call.node_name == LIMITED:
+            continue
+        if call.header("server-leaving") is not None:
+            told_at_ms[call.node_name] = min(
+                told_at_ms.get(call.node_name, math.inf), call.ended_at_ms
+            )
+    late = {
+        call.request.target
+        for call in calls
+        if call.started_at_ms
+        > told_at_ms.get(call.node_name, math.inf) + DRAIN_MS
+    }
+    return [
+        run.request.target
+        for run in world.runs
+        if run.node_name == LIMITED and run.request.target in late
+    ]
+
+
+@pytest.mark.parametrize("restarts", [0, 3])
+def test_server_that_says_it_leaves_gets_no_more_work(restarts):
+    world = _start_fleet()
+    calls = _load(world, 12_000)
+    world.run(2_000)
+    world.nodes[LIMITED].backend.leaving = True
+    for _ in range(restarts):
+        world.run(2_500)
+        world.kill(LIMITED)
+        world.run(300)
+        node = world.add_node(LIMITED, "zone-a", "orders", 20, 100.0, True)
+        node.backend.cold_ms = 0.0
+        node.backend.leaving = True
+    world.run(12_000)
+    answered = [call for call in calls if call.response is not None]
+    assert any(call.header("server-leaving") for call in answered)
+    assert not _runs_after_leaving(world, answered)
+    if not restarts:
+        assert _served_share(calls) >= 0.99
+
+
 @pytest.mark.parametrize(
     ("text", "limit_per_s"),
     [("12", 12.0), ("0", 0.0), (" 0.5 ", 0.5), ("11.25", 11.25)],
