Take no refusal without its request's id for an answer to the next one

test_second_copy_of_a_refusal_does_not_deny_the_next_run failed three of six before (each head without an id).

--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -27,6 +27,8 @@
 # of the timeout that it states.
 IDLE_MARGIN_S = 1.0
 WRONG_INSTANCE_STATUS = 421
+# Statuses that tell a caller that its request has not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Bytes of a response outside its body: head, trailers, framing.
 OVERHEAD_BYTES_MAX = 64 * 1024
 # Allows for the framing of a body that arrives in chunks of one byte.
@@ -268,13 +270,24 @@
         if echoed_id is None:
             if not self._must_echo():
                 return True
-            if response.status < 300:
+            if response.status < 300 or self._denies_run(response):
                 return False
             self.usable = False
             return True
         self._client.echoing_addresses.add(self.address)
         return echoed_id == transfer.request_id
 
+    def _denies_run(self, response):
+        """Return whether a response says that its request has not run.
+
+        Without the id of its request it may be a second copy of an earlier
+        refusal, while the present request runs.
+        """
+        return (
+            response.status in NOT_RUN_STATUSES
+            or response.header(self._client.names.not_run) is not None
+        )
+
     def _must_echo(self):
         return (
             self._client.requires_echo
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -161,6 +161,28 @@
     return results, client.connections_opened
 
 
+@pytest.mark.parametrize("echo", [b"", b"x-request-id: id-0\r\n"])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"HTTP/1.1 503 S\r\nfescueyard-not-run: 1\r\n",
+        b"HTTP/1.1 421 M\r\n",
+        b"HTTP/1.1 429 T\r\n",
+    ],
+)
+def test_second_copy_of_a_refusal_does_not_deny_the_next_run(head, echo):
+    refusal = b"%scontent-length: 0\r\n" % head
+    responses = [
+        b"%sx-request-id: id-0\r\n\r\n" % refusal,
+        b"%s%s\r\n" % (refusal, echo) + _with_id(b"id-1"),
+    ]
+    results, _ = asyncio.run(_fetch_in_sequence(responses, 2))
+    code = results[1].code
+    assert code.outcome is not codes.Outcome.NOT_RUN
+    if results[1].response is not None:
+        assert results[1].response.status == 200
+
+
 def test_idle_connection_is_reused():
     responses = [_with_id(b"id-0"), _with_id(b"id-1")]
     results, opened = asyncio.run(_fetch_in_sequence(responses, 2))
