--- a/tests/routing/test_node_drain.py
+++ b/tests/routing/test_node_drain.py
@@ -134,3 +134,32 @@
     assert call.response.status == 200
     assert codes.LEAVING.outcome is codes.Outcome.NOT_RUN
     assert all(run.node_name != "orders-zone-b" for run in world.runs)
+
+
+def test_call_late_in_a_planned_stop_is_refused_before_it_is_passed_on():
+    world = setups.start_routed_fleet(
+        routes=[("b", {"idempotent": False, "timeout_ms": 2_500.0})]
+    )
+    node = world.nodes["orders-zone-b"]
+    node.tables.leave_notice_ms = NOTICE_MS
+    node_systems.drain(node.tables, world.now_ms)
+    world._settle(node)
+    drain_at_ms = world.now_ms
+    calls = []
+    for number in range(100):
+        calls.append(
+            world.call(
+                "orders-zone-b",
+                f"/b/{number}?ms=2000",
+                KEY,
+                "POST",
+                host="fleet.example",
+            )
+        )
+        world.run(50)
+    world.run(3_000)
+    ran = {run.request.target for run in world.runs}
+    for call in calls:
+        late = call.started_at_ms - drain_at_ms >= NOTICE_MS
+        assert call.response.status == (503 if late else 200)
+        assert (call.request.target in ran) == (not late)
