Tie a notice to the server's process, and to what it said itself

Seen when reading the diff: a node also told others that its server leaves when it had drained it as out of reach, and a server that starts again under its id was held to what its last process had said. Sent along with requests, either would drain a healthy server for good.

A notice now names the start time of the process, and says leaving only where the server's own response did. test_restarted_server_is_not_held_to_what_its_last_process_said failed before; test_server_that_was_out_of_reach_gets_work_again passed before as well, as no node that had been rejected sent to the server soon enough.

--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -26,6 +26,8 @@
     :param sequence: number of its latest announcement.
     :param connect_failures: consecutive connections that it did not accept.
     :param cold_until_ms: end of its slow start; None when not reported.
+    :param says_leaving: whether its responses say that it is leaving. It may
+        also be drained as it is out of reach, and come back.
     """
 
     service: str
@@ -38,6 +40,7 @@
     sequence: int = 0
     connect_failures: int = 0
     cold_until_ms: float | None = None
+    says_leaving: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -301,7 +301,10 @@
     backend = tables.runs.backend
     if backend is None or not notice.instance:
         return
-    if backend.instance != notice.instance:
+    same_process = backend.instance == notice.instance and (
+        backend.born_ms == notice.born_ms or not backend.born_ms
+    )
+    if not same_process:
         return
     server_limit.adopt(tables.runs.server_limit, notice, now_ms)
     if notice.leaving:
@@ -310,7 +313,10 @@
 
 def _drain_by_notice(tables, basis, now_ms):
     backend = tables.runs.backend
-    if backend is None or backend.leaving:
+    if backend is None:
+        return
+    backend.says_leaving = True
+    if backend.leaving:
         return
     LOG.info("backend_leaving", instance=backend.instance, basis=basis)
     drain_backend(tables, now_ms)
--- a/fescueyard/admission/server_limit.py
+++ b/fescueyard/admission/server_limit.py
@@ -139,18 +139,22 @@
     return share * max(0.0, objective_ms or OBJECTIVE_DEFAULT_MS)
 
 
-def to_notice(limit, instance, leaving):
+def to_notice(limit, backend):
     """Build the notice that is sent along with responses to other nodes.
 
     :param limit: :class:`ServerLimit`.
-    :param instance: id of the backend server.
-    :param leaving: whether it is leaving.
+    :param backend: :class:`~fescueyard.admission.models.Backend`.
     :returns: :class:`~fescueyard.core.notices.ServerNotice`, or None when
         there is nothing to say.
     """
-    if limit.rate_per_s is None and not leaving:
+    if limit.rate_per_s is None and not backend.says_leaving:
         return None
-    return notices.ServerNotice(limit.rate_per_s, leaving, instance)
+    return notices.ServerNotice(
+        limit.rate_per_s,
+        backend.says_leaving,
+        backend.instance,
+        backend.born_ms,
+    )
 
 
 def _rate_per_s(limit):
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -572,9 +572,7 @@
     backend = table.backend
     if backend is None:
         return None
-    return server_limit.to_notice(
-        table.server_limit, backend.instance, backend.leaving
-    )
+    return server_limit.to_notice(table.server_limit, backend)
 
 
 def _retry_after_ms(tables, now_ms):
--- a/fescueyard/core/notices.py
+++ b/fescueyard/core/notices.py
@@ -19,11 +19,14 @@
         can't be read.
     :param leaving: whether it accepts no new work.
     :param instance: id of the backend server; empty when not known.
+    :param born_ms: start time of its process by its own clock, in ms; 0 when
+        not known. A server may start again under the id that it had.
     """
 
     rate_limit_per_s: float | None = None
     leaving: bool = False
     instance: str = ""
+    born_ms: int = 0
 
 
 def parse(headers, names):
--- a/tests/admission/test_server_limit.py
+++ b/tests/admission/test_server_limit.py
@@ -254,6 +254,53 @@
     assert not node.tables.runs.backend.leaving
 
 
+def _announce(world, node, born_ms, sequence):
+    registration.apply_announcement(
+        node.tables,
+        announcements.Announcement(
+            f"i-{LIMITED}",
+            "orders",
+            "127.0.0.1:1",
+            20,
+            born_ms,
+            sequence,
+            False,
+            0.0,
+        ),
+        3_000,
+        world.now_ms,
+    )
+
+
+def test_server_that_was_out_of_reach_gets_work_again():
+    world = _start_fleet()
+    node = world.nodes[LIMITED]
+    _load(world, 9_000)
+    world.run(1_000)
+    registration.handle_probe_result(node.tables, False, world.now_ms)
+    world._settle(node)
+    world.run(500)
+    _announce(world, node, 1, 1_000)
+    node.backend.sequence = 1_000
+    since_ms = world.now_ms + 3_000
+    world.run(8_000)
+    assert not node.tables.runs.backend.leaving
+    assert _most_in_window(world, LIMITED, since_ms) > 0
+
+
+def test_restarted_server_is_not_held_to_what_its_last_process_said():
+    world = _start_fleet()
+    node = world.nodes[LIMITED]
+    _load(world, 9_000)
+    node.backend.leaving = True
+    world.run(2_000)
+    node.backend.leaving = False
+    node.backend.announces = False
+    _announce(world, node, 2, 1)
+    world.run(1_500)
+    assert not node.tables.runs.backend.leaving
+
+
 @pytest.mark.parametrize(
     ("text", "limit_per_s"),
     [("12", 12.0), ("0", 0.0), (" 0.5 ", 0.5), ("11.25", 11.25)],
