--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -51,6 +51,7 @@
     :param queued_at_ms: time of arrival.
     :param firm: firm of its customer; empty when there is none.
     :param started_at_ms: when it was sent to the backend server, or None.
+    :param backend: the process of the backend server that it was sent to.
     :param token: call token of the run; empty while queued.
     :param queued: whether it is in the queue.
     :param share_index: index of the share of the slots that its latency is a
@@ -67,6 +68,7 @@
     queued_at_ms: float
     firm: str
     started_at_ms: float | None = None
+    backend: Backend | None = None
     token: str = ""
     queued: bool = False
     share_index: int | None = dataclasses.field(
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -154,7 +154,7 @@
         return
     crash_id = ""
     registration.record_connect_result(tables, code, now_ms)
-    if notice is not None:
+    if notice is not None and run.backend is table.backend:
         registration.record_notice(tables, notice, run.started_at_ms, now_ms)
     if code is codes.BACKEND_FAILED and tables.routed:
         registration.probe_after_failure(tables, run.forward)
@@ -425,6 +425,7 @@
     table = tables.runs
     queueing.remove(table, run)
     run.started_at_ms = now_ms
+    run.backend = table.backend
     server_limit.record_start(table.server_limit, now_ms)
     measurement.record_start(
         tables.pressure.backend, _pressing_wait_ms(table, run, now_ms)
--- a/tests/admission/test_server_limit.py
+++ b/tests/admission/test_server_limit.py
@@ -6,6 +6,8 @@
 from hypothesis import strategies
 import pytest
 
+from fescueyard.admission import announcements
+from fescueyard.admission import registration
 from fescueyard.admission import server_limit
 from fescueyard.core import headers
 from fescueyard.core import http
@@ -228,6 +230,30 @@
         assert _served_share(calls) >= 0.99
 
 
+def test_last_response_of_a_leaving_server_does_not_drain_its_successor():
+    world = _start_fleet()
+    node = world.nodes[LIMITED]
+    node.backend.leaving = True
+    call = world.call(LIMITED, "/work/x?ms=500", KEY, host="fleet.example")
+    while not node.runs:
+        world.run(1)
+        if call.response is not None:
+            call = world.call(
+                LIMITED, "/work/x?ms=500", KEY, host="fleet.example"
+            )
+    registration.apply_announcement(
+        node.tables,
+        announcements.Announcement(
+            "i-successor", "orders", "127.0.0.1:1", 20, 2, 1, False, 0.0
+        ),
+        3_000,
+        world.now_ms,
+    )
+    world.run(1_000)
+    assert call.header("server-leaving") == "1"
+    assert not node.tables.runs.backend.leaving
+
+
 @pytest.mark.parametrize(
     ("text", "limit_per_s"),
     [("12", 12.0), ("0", 0.0), (" 0.5 ", 0.5), ("11.25", 11.25)],
