--- a/review/1/case.py
+++ b/review/1/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import random
 import signal
@@ -159,4 +160,6 @@
     return came
 
 
-yards.main(case, HERE)
+yards.main(
+    case, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/1/node.py
+++ b/review/1/node.py
@@ -1,6 +1,7 @@
 """Machines are stopped in turn while some callers reach their time budget."""
 
 import asyncio
+import os
 import pathlib
 import random
 import signal
@@ -189,4 +190,8 @@
     return count == 0
 
 
-yards.main(case, HERE, "record-node.txt")
+yards.main(
+    case,
+    HERE / "record-node.txt",
+    trouble=os.environ.get("TROUBLE", "1") != "0",
+)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A late ping of a leaving server, beside a node that was restarted."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import sys
@@ -125,4 +126,6 @@
     return not late
 
 
-yards.main(case, HERE)
+yards.main(
+    case, HERE / "record.txt", trouble=os.environ.get("TROUBLE", "1") != "0"
+)
--- a/review/common/yard.py
+++ b/review/common/yard.py
@@ -652,16 +652,15 @@
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def main(case, folder, record_name="record.txt"):
+def main(case, record_path, trouble):
     """Run a case and exit as the issue asks.
 
     :param case: coroutine function of the yard and whether there is trouble;
         it returns whether the rule held.
-    :param folder: folder of the case.
-    :param record_name: name of the record in it.
+    :param record_path: where the record is written.
+    :param trouble: whether the disruption takes place.
     """
-    record = Record(pathlib.Path(folder) / record_name)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    record = Record(record_path)
     record.write("case", f"trouble {'on' if trouble else 'off'}")
     yard = None
     try:
