End a process whose timer or background task raised

Cause: nothing told apart an error that belongs to one connection from one after which the tables can't be relied on. The event loop's own handler treats both alike.

A reload or a dump that fails is contained.

--- a/fescueyard/core/codes.py
+++ b/fescueyard/core/codes.py
@@ -361,6 +361,13 @@
 NOT_INITIALISED = _define(
     4004, "not_initialised", 500, _NOT_RUN, "The data folder holds no member."
 )
+INTERNAL_ERROR = _define(
+    4005,
+    "internal_error",
+    500,
+    _MAY_HAVE_RUN,
+    "An unexpected error; the process's log names it.",
+)
 
 
 def by_number(number):
--- a/fescueyard/core/exceptions.py
+++ b/fescueyard/core/exceptions.py
@@ -55,3 +55,12 @@
     """A peer failed the handshake that authenticates it."""
 
     code = codes.PEER_REFUSED
+
+
+class InconsistentTablesError(FescueyardError):
+    """Tables were left half changed; the process must end.
+
+    It belongs to no connection, message or request, so nothing contains it.
+    """
+
+    code = codes.INTERNAL_ERROR
--- a/fescueyard/core/logs.py
+++ b/fescueyard/core/logs.py
@@ -9,6 +9,7 @@
 import dataclasses
 import os
 import time
+import traceback
 
 from absl import logging
 
@@ -16,6 +17,9 @@
 UNWRITTEN_BYTES_MAX = 512 * 1024
 DECISIONS_PER_S = 1_500
 DECISIONS_BURST = 3_000
+ERROR_CHARS_MAX = 300
+# Frames of a traceback that a line about an unexpected error names.
+ORIGIN_FRAMES = 6
 
 
 @dataclasses.dataclass
@@ -175,6 +179,34 @@
             "[%s] %s%s", self._component, event, _format_fields(fields)
         )
 
+    def failure(self, event, error, **fields):
+        """Log an unexpected error and where it was raised.
+
+        The lines count against the limit of those about decisions: an error
+        may be raised for each request.
+
+        :param event: name of the event.
+        :param error: the exception.
+        :param fields: what it ends.
+        """
+        fields.update(error=repr(error)[:ERROR_CHARS_MAX], at=_origin(error))
+        if _sink is not None:
+            _write("E", self._component, event, fields, True)
+            return
+        logging.error(
+            "[%s] %s%s", self._component, event, _format_fields(fields)
+        )
+
+
+def _origin(error):
+    """Return the innermost places through which an exception passed."""
+    frames = traceback.extract_tb(error.__traceback__)[-ORIGIN_FRAMES:]
+    places = [
+        f"{os.path.basename(frame.filename)}:{frame.lineno}"
+        for frame in frames
+    ]
+    return " > ".join(places)
+
 
 def _write(level, component, event, fields, is_decision):
     now_s = time.time()
@@ -187,5 +219,5 @@
 
 
 # Log lines name the source line of the caller instead of this module's.
-for _name in ("info", "warning", "error"):
+for _name in ("info", "warning", "error", "failure"):
     logging.ABSLLogger.register_frame_to_skip(__file__, _name)
--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -7,6 +7,8 @@
 import sys
 import time
 
+from fescueyard.core import exceptions
+from fescueyard.core import failures
 from fescueyard.core import logs
 
 LOG = logs.ComponentLogger("process")
@@ -55,13 +57,57 @@
         elif action == "stop":
             self._process.stop()
         elif action == "reload":
-            self._process.reload()
+            _reload(self._process)
         else:
             _write_dump(self._process)
 
 
+def _handle_uncaught(loop, context):
+    """Contain an error that reached the event loop, or end the process.
+
+    An error in a callback of a TCP connection ends that connection. The
+    datagram socket is opened once, so the process ends with it.
+
+    :param loop: the event loop.
+    :param context: see ``loop.call_exception_handler``.
+    """
+    error = context.get("exception")
+    if error is None:
+        LOG.warning("event_loop", message=context["message"])
+        return
+    owner = context.get("transport") or _callback_owner(context)
+    is_inconsistent = isinstance(error, exceptions.InconsistentTablesError)
+    if isinstance(owner, asyncio.Transport) and not is_inconsistent:
+        LOG.failure("connection_failed", error, message=context["message"])
+        owner.abort()
+        return
+    if "handle" in context or owner is not None or is_inconsistent:
+        failures.end_process(error, context["message"])
+    LOG.failure("event_loop", error, message=context["message"])
+
+
+def _callback_owner(context):
+    """Return the transport whose callback raised, or None."""
+    callback = getattr(context.get("handle"), "_callback", None)
+    owner = getattr(callback, "__self__", None)
+    return owner if isinstance(owner, asyncio.BaseTransport) else None
+
+
+def _start_background(loop, coroutine):
+    """Start a task that runs as long as the process."""
+    task = loop.create_task(coroutine)
+    task.add_done_callback(_background_ended)
+    return task
+
+
+def _background_ended(task):
+    if not task.cancelled() and task.exception() is not None:
+        failures.end_process(task.exception(), task.get_name())
+
+
 async def _run(start, watched_path):
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(_handle_uncaught)
     signals = _SignalQueue(loop)
     process = await start()
     # Objects made at start-up live as long as the process; scanning them in
@@ -70,9 +116,11 @@
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
     signals.attach(process)
-    tasks = [loop.create_task(_flush_logs())]
+    tasks = [_start_background(loop, _flush_logs())]
     if watched_path:
-        tasks.append(loop.create_task(_watch_file(watched_path, process)))
+        tasks.append(
+            _start_background(loop, _watch_file(watched_path, process))
+        )
     await process.stopped
     for task in tasks:
         task.cancel()
@@ -93,7 +141,7 @@
         if modified_at_ns != last_modified_at_ns:
             last_modified_at_ns = modified_at_ns
             LOG.info("settings_changed", path=path)
-            process.reload()
+            _reload(process)
 
 
 def _modified_at_ns(path):
@@ -104,8 +152,20 @@
         return None
 
 
+def _reload(process):
+    """Read the settings again; keep those in force if that fails."""
+    try:
+        process.reload()
+    except Exception as error:
+        failures.contain(LOG, "reload_failed", error)
+
+
 def _write_dump(process):
-    text = process.dump()
+    try:
+        text = process.dump()
+    except Exception as error:
+        failures.contain(LOG, "dump_failed", error)
+        return
     folder = process.settings.dump_folder
     if not folder:
         LOG.info("Dump.", tables=text)
--- a/tests/management/test_docs.py
+++ b/tests/management/test_docs.py
@@ -37,7 +37,8 @@
         text = path.read_text()
         events.update(
             re.findall(
-                r"LOG\.(?:decision|info|warning|error)\(\s*\"([a-z_]+)\"",
+                r"(?:LOG\.(?:decision|info|warning|error|failure)\(|"
+                r"failures\.contain\(\s*LOG,)\s*\"([a-z_]+)\"",
                 text,
             )
         )
--- /dev/null
+++ b/tests/transport/test_process.py
@@ -0,0 +1,69 @@
+"""What an error that nothing has caught ends."""
+
+import subprocess
+import sys
+
+import pytest
+
+from fescueyard.core import failures
+
+# Serves one connection of its own. The first argument names what raises.
+PROGRAM = """
+import asyncio, sys
+from fescueyard.core import exceptions
+from fescueyard.transport import process
+
+
+class Process:
+    async def serve(self):
+        loop = asyncio.get_running_loop()
+        self.stopped = loop.create_future()
+        server = await loop.create_server(Connection, "127.0.0.1", 0)
+        address = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(sys.argv[1].encode())
+        await reader.read()
+        loop.call_later(0.1, self.stopped.set_result, None)
+        if sys.argv[1] == "tick":
+            loop.call_soon(self.reload)
+        process._reload(self)
+        return self
+
+    def reload(self):
+        raise ValueError("odd file")
+
+
+class Connection(asyncio.Protocol):
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def data_received(self, data):
+        if data == b"bytes":
+            raise ValueError("odd bytes")
+        if data == b"tables":
+            raise exceptions.InconsistentTablesError("odd row")
+        self.transport.close()
+
+
+process.run(lambda: Process().serve())
+"""
+CASES = {
+    "nothing": (0, "reload_failed"),
+    "bytes": (0, "connection_failed"),
+    "tables": (failures.EXIT_STATUS, "process_failed"),
+    "tick": (failures.EXIT_STATUS, "process_failed"),
+}
+
+
+# A process whose timer had raised ran on and did nothing, and none saw why.
+@pytest.mark.parametrize("raised", CASES)
+def test_uncaught_error_ends_the_connection_or_the_process(raised):
+    ended = subprocess.run(
+        [sys.executable, "-c", PROGRAM, raised],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    status, event = CASES[raised]
+    assert ended.returncode == status, ended.stderr
+    assert event in ended.stdout
