--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -13,6 +13,8 @@
 import dataclasses
 import itertools
 
+from fescueyard.core import codes
+from fescueyard.core import failures
 from fescueyard.core import http
 from fescueyard.core import logs
 from fescueyard.core import problems
@@ -95,7 +97,7 @@
         self._exchanges.clear()
         for exchange in open_exchanges:
             if exchange.response is None:
-                self._handler.caller_left(exchange.exchange_id)
+                self._cancel(exchange)
 
     def data_received(self, data):
         """Parse bytes, or keep them while no request may be started."""
@@ -127,7 +129,14 @@
             return
         exchange.response = response
         self._held_bytes += len(response.body)
-        self._advance()
+        try:
+            self._advance()
+        except Exception as error:
+            # The handler may be responding on other connections next.
+            failures.contain(
+                LOG, "response_failed", error, exchange=exchange_id
+            )
+            self._transport.abort()
 
     def close_after_response(self):
         """Close the connection after its next responses."""
@@ -222,9 +231,28 @@
     def _start(self, parsed):
         exchange = _Exchange(next(_EXCHANGE_IDS), parsed)
         self._exchanges[exchange.exchange_id] = exchange
-        self._handler.request_received(
-            exchange.exchange_id, parsed.request, self
-        )
+        try:
+            self._handler.request_received(
+                exchange.exchange_id, parsed.request, self
+            )
+        except Exception as error:
+            failures.contain(
+                LOG, "request_failed", error, exchange=exchange.exchange_id
+            )
+            self._cancel(exchange)
+            self.respond(
+                exchange.exchange_id,
+                problems.problem_response(codes.INTERNAL_ERROR),
+            )
+
+    def _cancel(self, exchange):
+        """Tell the handler that a request needs no response any more."""
+        try:
+            self._handler.caller_left(exchange.exchange_id)
+        except Exception as error:
+            failures.contain(
+                LOG, "cancel_failed", error, exchange=exchange.exchange_id
+            )
 
     def _write_due_responses(self):
         """Write the responses before the first one that is missing."""
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -5,6 +5,7 @@
 
 from fescueyard.core import addresses
 from fescueyard.core import clock
+from fescueyard.core import failures
 from fescueyard.core import logs
 from fescueyard.transport import http_connection
 from fescueyard.transport import http_parsing
@@ -89,7 +90,10 @@
         """Close overdue connections; a single timer is cheaper than many."""
         loop = asyncio.get_running_loop()
         for connection in list(self._connections):
-            connection.close_if_overdue(loop.time())
+            try:
+                connection.close_if_overdue(loop.time())
+            except Exception as error:
+                failures.contain(LOG, "close_failed", error)
         if self._server.is_serving():
             loop.call_later(SWEEP_INTERVAL_S, self._sweep)
 
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -145,3 +145,57 @@
             await asyncio.sleep(0.01)
 
     asyncio.run(asyncio.wait_for(_serve_delayed(exchange), 5))
+
+
+class FailingHandler(Handler):
+    """Raises for each request, and for each disconnect."""
+
+    def request_received(self, exchange_id, request, connection):
+        """Fail in the middle of a request."""
+        self.requests.append(request)
+        raise KeyError("odd row")
+
+    def caller_left(self, exchange_id):
+        """Fail after recording that the request is cancelled."""
+        super().caller_left(exchange_id)
+        raise KeyError("odd row")
+
+
+def test_request_that_fails_is_answered_and_cancelled():
+    handler = FailingHandler()
+
+    async def exchange(reader, writer):
+        writer.write(REQUEST * 2)
+        body = b"urn:fescueyard:result:4005"
+        return await reader.readuntil(body), await reader.readuntil(body)
+
+    first, second = asyncio.run(_serve(handler, exchange))
+    assert first.startswith(b"HTTP/1.1 500 ")
+    assert b"HTTP/1.1 500 " in second
+    assert len(handler.left) == len(handler.requests) == 2
+
+
+# A connection whose timeout raised kept all idle ones open for good.
+def test_connection_that_can_not_be_closed_does_not_end_the_sweep(monkeypatch):
+    class Connection:
+        """Counts the sweeps; fails in each."""
+
+        sweeps = 0
+
+        def close_if_overdue(self, now_s):
+            """Fail."""
+            self.sweeps += 1
+            raise KeyError("odd row")
+
+    async def sweep():
+        server = http_server.HttpServer(Handler(), 1_000)
+        connection = Connection()
+        server._connections.add(connection)
+        await server.listen(addresses.Address("127.0.0.1", 0))
+        while connection.sweeps < 3:
+            await asyncio.sleep(0.01)
+        server._connections.clear()
+        server.close_when_idle()
+
+    monkeypatch.setattr(http_server, "SWEEP_INTERVAL_S", 0.02)
+    asyncio.run(asyncio.wait_for(sweep(), 5))
