Contain what one message, datagram or address raises in the transports

A message that can't be encoded, such as one with an integer over 64 bits, lost all messages queued behind it for the same stream, and an address that can't be dialled kept its queue for good: later messages to it were neither sent nor reported as unsent, so calls waited for their deadline.

StreamPool and the client of the backend server expected OSError only.

Change: such a message is reported as not sent (message_unsendable) and the next one goes out; a failed dial or connection of any kind is reported. An unexpected error of a received message closes its stream, one of a datagram drops it, each with a log line.

Evidence: both new tests of streams failed before (OverflowError; timeout).

--- a/fescueyard/core/wire.py
+++ b/fescueyard/core/wire.py
@@ -90,7 +90,7 @@
     """
     try:
         values = msgpack.unpackb(payload)
-    except (ValueError, msgpack.UnpackException) as error:
+    except (ValueError, TypeError, msgpack.UnpackException) as error:
         raise _frame_error(f"undecodable record: {error!r}") from error
     return _build(cls, values, 0)
 
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -10,6 +10,7 @@
 import concurrent.futures
 
 from fescueyard.core import codes
+from fescueyard.core import failures
 from fescueyard.core import headers as header_names
 from fescueyard.core import logs
 from fescueyard.transport import backend_connection
@@ -141,12 +142,12 @@
 
     async def _open_connection(self, address):
         host, _, port = address.rpartition(":")
-        connecting = self._loop.create_connection(
-            lambda: backend_connection.Connection(self, address),
-            host,
-            int(port),
-        )
         try:
+            connecting = self._loop.create_connection(
+                lambda: backend_connection.Connection(self, address),
+                host,
+                int(port),
+            )
             _, connection = await asyncio.wait_for(
                 connecting, CONNECT_TIMEOUT_S
             )
@@ -155,6 +156,9 @@
                 "connect_failed", address=address, error=type(error).__name__
             )
             return None
+        except Exception as error:
+            failures.contain(LOG, "connect_failed", error, address=address)
+            return None
         self.connections_opened += 1
         self._open.add(connection)
         return connection
--- a/fescueyard/transport/datagrams.py
+++ b/fescueyard/transport/datagrams.py
@@ -6,6 +6,7 @@
 
 from fescueyard.core import addresses
 from fescueyard.core import exceptions
+from fescueyard.core import failures
 from fescueyard.core import logs
 from fescueyard.core import wire
 
@@ -58,7 +59,16 @@
         except exceptions.StreamError as error:
             LOG.warning("Datagram is malformed.", detail=error.detail)
             return
-        self._handler.datagram_received(message)
+        try:
+            self._handler.datagram_received(message)
+        except Exception as error:
+            failures.contain(
+                LOG,
+                "datagram_failed",
+                error,
+                source=f"{addr[0]}:{addr[1]}",
+                message=type(message).__name__,
+            )
 
     def error_received(self, exc):
         """Ignore unreachable processes; the probes of gossip detect them."""
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -7,6 +7,7 @@
 from fescueyard.core import clock
 from fescueyard.core import dispatch
 from fescueyard.core import exceptions
+from fescueyard.core import failures
 from fescueyard.core import logs
 from fescueyard.core import wire
 from fescueyard.transport import handshake
@@ -105,6 +106,9 @@
                 detail=error.detail,
             )
             self.close()
+        except Exception as error:
+            failures.contain(LOG, "stream_failed", error, peer=self.peer_id)
+            self.close()
 
     def connection_lost(self, exc):
         """Report the loss of the stream to the pool."""
@@ -294,7 +298,7 @@
         """
         stream = self._stream_by_address.get(address)
         if stream is not None and stream.ready:
-            stream.send(message)
+            self._send_on(stream, message)
             return
         dialling = address in self._queued
         queued = self._queued.setdefault(address, [])
@@ -342,7 +346,9 @@
         self._handler.peer_identified(stream.address, stream.peer_id)
         now_ms = clock.now_ms()
         for queued_at_ms, message in self._queued.pop(stream.address, []):
-            stream.send(dispatch.deduct_wait(message, now_ms - queued_at_ms))
+            self._send_on(
+                stream, dispatch.deduct_wait(message, now_ms - queued_at_ms)
+            )
 
     def stream_lost(self, stream):
         """Remove a stream and report the messages not sent."""
@@ -365,6 +371,23 @@
         """Report a message written to a stream."""
         self._handler.message_sent(stream.peer_id, message, payload_bytes)
 
+    def _send_on(self, stream, message):
+        """Send a message; report it as not sent when it can't be encoded."""
+        try:
+            stream.send(message)
+        except Exception as error:
+            failures.contain(
+                LOG,
+                "message_unsendable",
+                error,
+                peer=stream.peer_id,
+                message=type(message).__name__,
+            )
+            # The handler may be in the middle of sending other messages.
+            asyncio.get_running_loop().call_soon(
+                self._handler.message_unsent, stream.address, message
+            )
+
     def _add_open(self, stream):
         self._open.add(stream)
         return stream
@@ -389,6 +412,9 @@
                 "dial_failed", address=str(address), error=type(error).__name__
             )
             self._report_unsent(address)
+        except Exception as error:
+            failures.contain(LOG, "dial_failed", error, address=str(address))
+            self._report_unsent(address)
 
     def _report_unsent(self, address):
         for _, message in self._queued.pop(address, []):
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -147,3 +147,44 @@
         return receiver.received
 
     assert asyncio.run(run()) == [MESSAGE]
+
+
+# One message that could not be encoded lost those queued behind it.
+def test_unencodable_message_is_reported_and_those_behind_it_arrive():
+    odd = messages.RetryRequest(2**70, "chain")
+
+    async def run():
+        receiver = Handler()
+        server = streams.StreamPool("taker", SECRET, receiver)
+        listener = await server.listen(addresses.Address("127.0.0.1", 0))
+        address = addresses.Address(*listener.sockets[0].getsockname())
+        sender = Handler()
+        pool = streams.StreamPool("sender", SECRET, sender)
+        for _ in range(2):
+            # Queued for the stream at first, then sent on it.
+            pool.send(address, odd)
+            pool.send(address, MESSAGE)
+            while not receiver.received:
+                await asyncio.sleep(0.001)
+        await asyncio.sleep(0.01)
+        pool.close()
+        listener.close()
+        await asyncio.sleep(0.01)
+        return receiver, sender
+
+    receiver, sender = asyncio.run(asyncio.wait_for(run(), 5))
+    assert receiver.received == [MESSAGE] * 2
+    assert sender.unsent == [odd] * 2
+
+
+# An address that could not be dialled kept its messages for good.
+def test_failed_dial_reports_its_messages_each_time():
+    async def run():
+        sender = Handler()
+        pool = streams.StreamPool("sender", SECRET, sender)
+        for count in (1, 2):
+            pool.send(addresses.Address("127.0.0.1", 99_999), MESSAGE)
+            while len(sender.unsent) < count:
+                await asyncio.sleep(0.001)
+
+    asyncio.run(asyncio.wait_for(run(), 5))
