Carry out the effects behind one that fails, at nodes and control processes

Cause: effects, outcomes and outgoing messages of one round were executed in one go; the first error dropped the others. The same held for the effects that were due when a message of a peer could not be handled.

Change: each effect, message and outcome is executed on its own; what waits for it is told (a run counts as "may have run", an order gets 500), and a line of the log names it. An error of an event, of a consensus message or of saving and applying belongs to no input: the process ends at once and says why.

--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -20,6 +20,7 @@
 from fescueyard.core import effects
 from fescueyard.core import exceptions
 from fescueyard.core import exposition as core_exposition
+from fescueyard.core import failures
 from fescueyard.core import logs
 from fescueyard.core import operators
 from fescueyard.routing import membership
@@ -254,6 +255,15 @@
                 detail=error.detail,
             )
             return False
+        except Exception as error:
+            failures.contain(
+                LOG,
+                "message_failed",
+                error,
+                peer=peer_id,
+                message=type(message).__name__,
+            )
+            return False
         self._process_pending(now_ms)
         return True
 
@@ -309,7 +319,10 @@
         The event loop blocks on the disk on purpose: a member whose disk
         hangs must not keep its leadership by heartbeats alone.
         """
-        systems.save_and_apply(self._tables, self._storage.save, now_ms)
+        try:
+            systems.save_and_apply(self._tables, self._storage.save, now_ms)
+        except Exception as error:
+            failures.end_process(error, "save_and_apply")
         self._send_outbox()
         self._send_effects()
         self._deliver_outcomes()
@@ -319,46 +332,74 @@
         outbox = consensus_table.outbox
         consensus_table.outbox = []
         for outgoing in outbox:
-            member = log.find_member(consensus_table, outgoing.member_id)
-            if member is not None:
-                address = addresses.parse(member.address)
-                self._stream_pool.send(address, outgoing.message)
-                continue
-            # A member that has not caught up does not know the addresses of
-            # the others yet; it responds on the stream of the request.
-            stream = self._peer_streams.get(outgoing.member_id)
-            if stream is not None and stream.ready:
-                stream.send(outgoing.message)
+            try:
+                self._send_to_member(outgoing)
+            except Exception as error:
+                failures.contain(
+                    LOG, "message_failed", error, member=outgoing.member_id
+                )
+
+    def _send_to_member(self, outgoing):
+        member = log.find_member(self._tables.consensus, outgoing.member_id)
+        if member is not None:
+            address = addresses.parse(member.address)
+            self._stream_pool.send(address, outgoing.message)
+            return
+        # A member that has not caught up does not know the addresses of
+        # the others yet; it responds on the stream of the request.
+        stream = self._peer_streams.get(outgoing.member_id)
+        if stream is not None and stream.ready:
+            stream.send(outgoing.message)
 
     def _send_effects(self):
         pending_effects = self._tables.effects
         self._tables.effects = []
         for effect in pending_effects:
-            if isinstance(effect, effects.SendMessage):
-                address = addresses.parse(effect.address)
-                self._stream_pool.send(address, effect.message)
-            elif isinstance(effect, effects.SendDatagram):
-                self._datagram_socket.send(effect.address, effect.message)
-            elif effect.stream is not None and effect.stream.ready:
-                effect.stream.send(effect.message)
+            try:
+                self._send_effect(effect)
+            except Exception as error:
+                failures.contain(
+                    LOG, "effect_failed", error, effect=type(effect).__name__
+                )
+
+    def _send_effect(self, effect):
+        if isinstance(effect, effects.SendMessage):
+            address = addresses.parse(effect.address)
+            self._stream_pool.send(address, effect.message)
+        elif isinstance(effect, effects.SendDatagram):
+            self._datagram_socket.send(effect.address, effect.message)
+        elif effect.stream is not None and effect.stream.ready:
+            effect.stream.send(effect.message)
 
     def _deliver_outcomes(self):
         outcomes = self._tables.outcomes
         self._tables.outcomes = []
         for outcome in outcomes:
-            response = self._outcome_response(outcome)
-            if response is None:
-                continue
-            LOG.info(
-                "order_answered",
-                order=outcome.exchange_id,
-                status=response.status,
-                in_force=self._tables.state.applied_document.number,
-                age_ms=_round_finite(
-                    systems.state_age_ms(self._tables, clock.now_ms())
-                ),
-            )
-            self._respond(outcome.exchange_id, response)
+            try:
+                self._deliver_outcome(outcome)
+            except Exception as error:
+                failures.contain(
+                    LOG, "order_failed", error, order=outcome.exchange_id
+                )
+                self._respond(
+                    outcome.exchange_id,
+                    self._interface.error_response(codes.INTERNAL_ERROR),
+                )
+
+    def _deliver_outcome(self, outcome):
+        response = self._outcome_response(outcome)
+        if response is None:
+            return
+        LOG.info(
+            "order_answered",
+            order=outcome.exchange_id,
+            status=response.status,
+            in_force=self._tables.state.applied_document.number,
+            age_ms=_round_finite(
+                systems.state_age_ms(self._tables, clock.now_ms())
+            ),
+        )
+        self._respond(outcome.exchange_id, response)
 
     def _outcome_response(self, outcome):
         if isinstance(outcome, control_tables.ChangeCompleted):
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -24,6 +24,7 @@
 from fescueyard.core import codes
 from fescueyard.core import dispatch
 from fescueyard.core import effects
+from fescueyard.core import exceptions
 from fescueyard.core import logs
 from fescueyard.core import wire
 from fescueyard.idempotency import assignment
@@ -318,8 +319,16 @@
     :param peer_id: authenticated id of the sender; empty for a datagram.
     :param stream: handle for replies; None for a datagram.
     :param now_ms: the present time.
+    :raises StreamError: when the message is not for a control process.
+    :raises InconsistentTablesError: when a message of the consensus protocol
+        is left half handled.
     """
-    consensus_dispatch.receive(message, tables.consensus, peer_id, now_ms)
+    try:
+        consensus_dispatch.receive(message, tables.consensus, peer_id, now_ms)
+    except exceptions.StreamError:
+        raise
+    except Exception as error:
+        raise exceptions.InconsistentTablesError(repr(error)) from error
 
 
 @receive.register
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -1,6 +1,7 @@
 """The node process: connects the node's tables to sockets and the clock."""
 
 import asyncio
+import concurrent.futures
 import dataclasses
 import functools
 import random
@@ -19,6 +20,7 @@
 from fescueyard.core import effects
 from fescueyard.core import exceptions
 from fescueyard.core import exposition as core_exposition
+from fescueyard.core import failures
 from fescueyard.core import http
 from fescueyard.core import ids
 from fescueyard.core import logs
@@ -36,6 +38,7 @@
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import traffic
 from fescueyard.transport import backend_client
+from fescueyard.transport import backend_connection
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
 from fescueyard.transport import streams
@@ -52,6 +55,19 @@
 STOP_MARGIN_MS = 600
 
 
+def _ends_process_on_error(callback):
+    """Wrap a callback of a future, which would only log what it raises."""
+
+    @functools.wraps(callback)
+    def wrapped(*arguments):
+        try:
+            callback(*arguments)
+        except Exception as error:
+            failures.end_process(error, callback.__name__)
+
+    return wrapped
+
+
 class _ListenerHandler:
     """Handler of one HTTP listener."""
 
@@ -311,6 +327,15 @@
                 detail=error.detail,
             )
             stream.close()
+        except Exception as error:
+            failures.contain(
+                LOG,
+                "message_failed",
+                error,
+                peer=stream.peer_id,
+                message=type(message).__name__,
+            )
+            stream.close()
         self._process_pending(now_ms)
 
     def datagram_received(self, message):
@@ -321,6 +346,10 @@
             systems.receive(message, self._tables, sender, now_ms)
         except exceptions.StreamError as error:
             LOG.warning("Datagram refused.", detail=error.detail)
+        except Exception as error:
+            failures.contain(
+                LOG, "message_failed", error, message=type(message).__name__
+            )
         self._process_pending(now_ms)
 
     def message_sent(self, peer_id, message, payload_bytes):
@@ -450,6 +479,14 @@
             return
         self._applied_version = state.version
         self._query_backend_id()
+        try:
+            self._apply_listener_limits(state)
+        except Exception as error:
+            failures.contain(
+                LOG, "listener_limits_failed", error, version=state.version
+            )
+
+    def _apply_listener_limits(self, state):
         listener = state.find(
             configuration_models.Kind.LISTENER,
             configuration_models.CALLERS_LISTENER,
@@ -475,8 +512,18 @@
             pending = self._tables.effects
             self._tables.effects = []
             for effect in pending:
-                _apply_effect(effect, self)
-
+                try:
+                    _apply_effect(effect, self)
+                except Exception as error:
+                    failures.contain(
+                        LOG,
+                        "effect_failed",
+                        error,
+                        effect=type(effect).__name__,
+                    )
+                    _handle_failed_effect(effect, self)
+
+    @_ends_process_on_error
     def _run_completed(self, run_id, future):
         self._run_futures.pop(run_id, None)
         result = future.result()
@@ -504,6 +551,7 @@
         future = self._backend_client.fetch(f"http://{address}", request, True)
         future.add_done_callback(self._backend_id_received)
 
+    @_ends_process_on_error
     def _backend_id_received(self, future):
         now_ms = clock.now_ms()
         result = future.result()
@@ -606,6 +654,20 @@
         node._backend_client.cancel(future)
 
 
+@functools.singledispatch
+def _handle_failed_effect(effect, node):
+    """Report an effect that could not be executed to what waits for it."""
+
+
+@_handle_failed_effect.register
+def _handle_failed_run(effect: effects.StartRun, node):
+    # How much of the request was written is not known.
+    result = backend_connection.BackendResult(None, codes.BACKEND_FAILED)
+    future = concurrent.futures.Future()
+    future.set_result(result)
+    node._run_completed(effect.run_id, future)
+
+
 async def start(settings, **options):
     """Start a node.
 
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -8,6 +8,7 @@
 from fescueyard.admission import registration
 from fescueyard.admission import systems as admission
 from fescueyard.core import dispatch
+from fescueyard.core import exceptions
 from fescueyard.core import timers
 from fescueyard.idempotency import replica as claim_replica
 from fescueyard.ingress import systems as ingress
@@ -84,12 +85,19 @@
 
     :param tables: the node's tables.
     :param now_ms: the present time.
+    :raises InconsistentTablesError: when an event can't be handled.
     """
     while tables.events:
         events = tables.events
         tables.events = []
         for event in events:
-            dispatch.handle(event, tables, now_ms)
+            try:
+                dispatch.handle(event, tables, now_ms)
+            except Exception as error:
+                # It belongs to no input, and the events behind it are lost.
+                raise exceptions.InconsistentTablesError(
+                    f"{type(event).__name__}: {error!r}"
+                ) from error
 
 
 @dataclasses.dataclass(slots=True)
