Keep a leave that came before the server's first announcement

Its node had been restarted and found it by its health check.

Cause: a health check names no start time, so the server was recorded with 0, and processes were compared by id and start time for equality. Any announcement then counted as one of another, later process, also one sent before the leave: what was learnt from a weaker source was outranked by anything. On related paths the same held for a leave said in a response, or passed on by another node; for the limit named before the first announcement; for a leave that came before anything was known of the server, which was not recorded at all; and for a leave followed by refused connections.

Change: a server found by its health check started at the latest when it responded. An announcement of the same id that started no later is of the same process and completes its row; one that started later is of a new process. A leave of a server that is not known yet is kept with the time of day at which it came, by the same rule. What a server says of itself (response, DELETE, draining) is final for its process; being out of reach is not. Announcements that are left out have a line (announcement_of_left).

--- a/fescueyard/admission/announcements.py
+++ b/fescueyard/admission/announcements.py
@@ -8,7 +8,8 @@
 A node that was restarted knows no earlier announcement. The first one that it
 receives may be late and from a server that has since reported that it is
 leaving, so it counts only once a later one of the same process follows, or
-the server's health check confirms it.
+the server's health check confirms it. A health check names no start time;
+the process that it found started at the latest when it responded.
 """
 
 import dataclasses
@@ -27,6 +28,8 @@
     :param sequence: increases with each announcement of one process.
     :param leaving: whether it has stopped accepting new work.
     :param cold_ms: remaining time of its slow start, in ms.
+    :param born_max_ms: time of day, in ms, at which its process ran already;
+        an upper bound of a start time that is not reported.
     """
 
     instance: str
@@ -37,6 +40,23 @@
     sequence: int
     leaving: bool
     cold_ms: float
+    born_max_ms: int = 0
+
+
+def is_same_process(backend, announcement):
+    """Return whether an announcement is of the process that is known.
+
+    :param backend: :class:`~fescueyard.admission.models.Backend`, or None.
+    :param announcement: :class:`Announcement`.
+    :returns: bool.
+    """
+    if backend is None or backend.instance != announcement.instance:
+        return False
+    if backend.born_ms == announcement.born_ms:
+        return True
+    return not backend.born_ms and (
+        announcement.born_ms <= backend.born_max_ms
+    )
 
 
 def follows(held, announcement):
--- a/fescueyard/admission/discovery.py
+++ b/fescueyard/admission/discovery.py
@@ -29,12 +29,13 @@
     return service.health_path
 
 
-def announcement_from_response(tables, address, response):
+def announcement_from_response(tables, address, response, unix_ms):
     """Build an announcement from the response of a health path.
 
     :param tables: the node's tables.
     :param address: ``host:port`` that the request was sent to.
     :param response: :class:`~fescueyard.core.http.HttpResponse`, or None.
+    :param unix_ms: the present time of day, in ms.
     :returns: :class:`~fescueyard.admission.announcements.Announcement`, or
         None when no healthy backend server responded.
     """
@@ -52,6 +53,7 @@
                 0,
                 False,
                 0.0,
+                born_max_ms=unix_ms,
             )
     return None
 
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -26,8 +26,9 @@
     :param sequence: number of its latest announcement.
     :param connect_failures: consecutive connections that it did not accept.
     :param cold_until_ms: end of its slow start; None when not reported.
-    :param says_leaving: whether its responses say that it is leaving. It may
-        also be drained as it is out of reach, and come back.
+    :param says_leaving: whether it has said itself that it is leaving, which
+        is final. It may also be drained as it is out of reach, and come back.
+    :param born_max_ms: upper bound of a start time that is not reported.
     """
 
     service: str
@@ -41,6 +42,7 @@
     connect_failures: int = 0
     cold_until_ms: float | None = None
     says_leaving: bool = False
+    born_max_ms: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -143,6 +145,8 @@
     :param closed: whether the node is stopping and accepts no more runs.
     :param held_announcement: first announcement after a restart of the node,
         until it is confirmed; None for none.
+    :param left_at_unix_ms: time of day, in ms, at which a server that nothing
+        else was known of said that it leaves, by its id.
     :param outcome_counts: recent runs and failures of the backend server.
     :param server_limit: the limit that the backend server has named.
     """
@@ -163,6 +167,7 @@
     last_run_id: int = 0
     closed: bool = False
     held_announcement: announcements.Announcement | None = None
+    left_at_unix_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     outcome_counts: outcomes.OutcomeCounts = dataclasses.field(
         default_factory=outcomes.OutcomeCounts
     )
--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -23,6 +23,8 @@
 LOG = logs.ComponentLogger("admission")
 
 CONNECT_FAILURES_MAX = 2
+# Servers that left before anything else was known of them.
+LEAVES_MAX = 16
 COLD_CHANGE_MIN_MS = 500
 
 
@@ -72,6 +74,11 @@
     )
     if is_renewal:
         backend.expires_at_ms = expires_at_ms
+    elif _is_known_in_part(backend, service, address) and not is_new_process:
+        backend.expires_at_ms = expires_at_ms
+        backend.slots = slots
+        limiter.reset(table.limiter, slots)
+        _publish_backend(tables, now_ms)
     else:
         limiter.reset(table.limiter, slots)
         table.outcome_counts = outcomes.OutcomeCounts()
@@ -85,6 +92,16 @@
     timers.schedule(tables.timers, expires_at_ms, BackendExpiryDue())
 
 
+def _is_known_in_part(backend, service, address):
+    """Return whether a server was found by its health check only."""
+    return (
+        backend is not None
+        and backend.born_max_ms > 0
+        and not backend.leaving
+        and (backend.service, backend.address) == (service, address)
+    )
+
+
 def apply_announcement(tables, announcement, ttl_ms, now_ms):
     """Apply the announcement of a backend server that has an id.
 
@@ -97,6 +114,9 @@
     """
     table = tables.runs
     backend = table.backend
+    if _left_before(table, announcement):
+        LOG.info("announcement_of_left", **_described(announcement))
+        return
     if announcements.is_outdated(backend, announcement):
         _log_outdated(backend, announcement)
         return
@@ -104,19 +124,15 @@
         _hold(table, announcement)
         return
     table.held_announcement = None
-    is_same_process = (
-        backend is not None
-        and backend.instance == announcement.instance
-        and backend.born_ms == announcement.born_ms
-    )
+    is_same_process = announcements.is_same_process(backend, announcement)
     if is_same_process and backend.leaving and not announcement.leaving:
         # The process is draining or has ended; only a later process may
-        # register. One that was drained because it refused connections may
-        # register again.
-        if not backend.connect_failures:
+        # register.
+        if not _may_return(backend):
+            LOG.info("announcement_of_left", **_described(announcement))
             return
     if not is_same_process or backend.leaving or announcement.leaving:
-        _log_announced(announcement)
+        LOG.info("backend_announced", **_described(announcement))
     if announcement.leaving:
         _apply_leaving(tables, announcement, now_ms)
     else:
@@ -132,11 +148,31 @@
         )
     table.backend.instance = announcement.instance
     table.backend.born_ms = announcement.born_ms
+    table.backend.born_max_ms = announcement.born_max_ms
     table.backend.sequence = announcement.sequence
     table.backend.connect_failures = 0
     _update_cold_until(tables, announcement.cold_ms, now_ms)
 
 
+def _left_before(table, announcement):
+    """Return whether the process had left before it was known to this node."""
+    left_at_unix_ms = table.left_at_unix_ms.get(announcement.instance)
+    return (
+        left_at_unix_ms is not None and announcement.born_ms <= left_at_unix_ms
+    )
+
+
+def _may_return(backend):
+    """Return whether a drained backend server may register again.
+
+    One that said that it leaves may not. One that refused connections may, as
+    may one that its health check found and that was silent since.
+    """
+    if backend.says_leaving:
+        return False
+    return backend.connect_failures > 0 or backend.born_max_ms > 0
+
+
 def _apply_leaving(tables, announcement, now_ms):
     """Drain the backend server, or record that an unknown one is leaving."""
     if tables.runs.backend is None:
@@ -148,6 +184,7 @@
             now_ms,
             True,
         )
+    tables.runs.backend.says_leaving = True
     drain_backend(tables, now_ms)
 
 
@@ -163,16 +200,17 @@
     )
 
 
-def _log_announced(announcement):
-    LOG.info(
-        "backend_announced",
-        instance=announcement.instance,
-        service=announcement.service,
-        slots=announcement.slots,
-        sequence=announcement.sequence,
-        leaving=announcement.leaving,
-        cold_ms=round(announcement.cold_ms),
-    )
+def _described(announcement):
+    """Return the fields of a log line about an announcement."""
+    return {
+        "instance": announcement.instance,
+        "service": announcement.service,
+        "slots": announcement.slots,
+        "born_ms": announcement.born_ms,
+        "sequence": announcement.sequence,
+        "leaving": announcement.leaving,
+        "cold_ms": round(announcement.cold_ms),
+    }
 
 
 def _must_be_confirmed(tables, announcement):
@@ -229,20 +267,30 @@
         _publish_backend(tables, now_ms)
 
 
-def backend_left(tables, instance, now_ms):
+def backend_left(tables, instance, now_ms, unix_ms):
     """Drain a backend server that reported that it is leaving.
 
     :param tables: the node's tables.
-    :param instance: its id; the report of another instance is ignored.
+    :param instance: its id; the report of another instance does not drain.
     :param now_ms: the present time.
+    :param unix_ms: the present time of day, in ms.
     """
     table = tables.runs
+    LOG.info("backend_left", instance=instance, unix_ms=unix_ms)
     held = table.held_announcement
     if held is not None and held.instance == instance:
         table.held_announcement = None
     if table.backend is not None and table.backend.instance == instance:
-        LOG.info("backend_left", instance=instance)
+        table.backend.says_leaving = True
         drain_backend(tables, now_ms)
+    elif table.backend is None:
+        _remember_leave(table, instance, unix_ms)
+
+
+def _remember_leave(table, instance, unix_ms):
+    table.left_at_unix_ms[instance] = unix_ms
+    if len(table.left_at_unix_ms) > LEAVES_MAX:
+        del table.left_at_unix_ms[next(iter(table.left_at_unix_ms))]
 
 
 def drain_backend(tables, now_ms):
@@ -306,6 +354,9 @@
     )
     if not same_process:
         return
+    if notice.born_ms:
+        # A later process under the same id is told by its start time.
+        backend.born_ms = notice.born_ms
     server_limit.adopt(tables.runs.server_limit, notice, now_ms)
     if notice.leaving:
         _drain_by_notice(tables, "other_node", now_ms)
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -295,7 +295,9 @@
         :param instance: id of the backend server.
         :param now_ms: the present time.
         """
-        registration.backend_left(self._tables, instance, now_ms)
+        registration.backend_left(
+            self._tables, instance, now_ms, clock.unix_ms()
+        )
 
     def _respond_to_backend(self, backend_handler, request, now_ms):
         response = backend_handler(self, request, now_ms)
@@ -558,7 +560,7 @@
         response = result.response
         address = self.settings.server_address
         announcement = discovery.announcement_from_response(
-            self._tables, address, response
+            self._tables, address, response, clock.unix_ms()
         )
         LOG.info(
             "backend_asked",
--- a/tests/admission/test_registration.py
+++ b/tests/admission/test_registration.py
@@ -6,9 +6,12 @@
 from fescueyard.admission import discovery
 from fescueyard.admission import registration
 from fescueyard.core import http
+from fescueyard.core import notices
 from tests import setups
 
 TTL_MS = 6_000
+# A time of day after the start of every process below.
+UNIX_MS = 1_000
 
 
 def _announcement(
@@ -19,6 +22,7 @@
         "address": "127.0.0.1:1",
         "slots": 10,
         "cold_ms": 0.0,
+        "born_max_ms": 0,
     }
     values.update(fields)
     return announcements.Announcement(
@@ -30,6 +34,7 @@
         sequence,
         leaving,
         values["cold_ms"],
+        values["born_max_ms"],
     )
 
 
@@ -169,7 +174,7 @@
     registration.apply_announcement(
         tables, _announcement(sequence=5), TTL_MS, world.now_ms
     )
-    registration.backend_left(tables, "i-1", world.now_ms)
+    registration.backend_left(tables, "i-1", world.now_ms, UNIX_MS)
     registration.apply_announcement(
         tables, _announcement(sequence=6), TTL_MS, world.now_ms
     )
@@ -198,9 +203,9 @@
     registration.apply_announcement(
         tables, _announcement(), TTL_MS, world.now_ms
     )
-    registration.backend_left(tables, "i-other", world.now_ms)
+    registration.backend_left(tables, "i-other", world.now_ms, UNIX_MS)
     assert not tables.runs.backend.leaving
-    registration.backend_left(tables, "i-1", world.now_ms)
+    registration.backend_left(tables, "i-1", world.now_ms, UNIX_MS)
     assert tables.runs.backend.leaving
 
 
@@ -229,12 +234,12 @@
     ):
         assert (
             discovery.announcement_from_response(
-                tables, "127.0.0.1:1", response
+                tables, "127.0.0.1:1", response, UNIX_MS
             )
             is None
         )
     announcement = discovery.announcement_from_response(
-        tables, "127.0.0.1:1", healthy
+        tables, "127.0.0.1:1", healthy, UNIX_MS
     )
     registration.apply_announcement(tables, announcement, TTL_MS, world.now_ms)
     assert tables.runs.backend.instance == "i-1"
@@ -243,3 +248,102 @@
     )
     assert tables.runs.backend.slots == 33
     assert not tables.runs.backend.leaving
+
+
+def _checked_node():
+    """Return the world and tables of a node whose server is only checked."""
+    world, tables = _restarted_node()
+    checked = _announcement(
+        "i-1", born_ms=0, sequence=0, slots=16, born_max_ms=UNIX_MS
+    )
+    registration.confirm_backend(tables, checked, TTL_MS, world.now_ms)
+    return world, tables
+
+
+def _leave(world, tables):
+    registration.backend_left(tables, "i-1", world.now_ms, UNIX_MS)
+
+
+def _notice(world, tables, born_ms=0):
+    notice = notices.ServerNotice(None, True, "i-1", born_ms)
+    registration.adopt_notice(tables, notice, world.now_ms)
+
+
+def _respond(world, tables):
+    notice = notices.ServerNotice(leaving=True)
+    registration.record_notice(tables, notice, 0.0, world.now_ms)
+
+
+LEAVES = {
+    "DELETE": _leave,
+    "response": _respond,
+    "another node, start not known": _notice,
+    "another node": lambda world, tables: _notice(world, tables, 100),
+}
+
+
+# A late announcement brought back a server that had left.
+@pytest.mark.parametrize("way", LEAVES)
+def test_leave_of_a_server_known_by_its_health_check_is_final(way):
+    world, tables = _checked_node()
+    LEAVES[way](world, tables)
+    for sequence in (5, 6):
+        registration.apply_announcement(
+            tables, _announcement(sequence=sequence), TTL_MS, world.now_ms
+        )
+        assert tables.runs.backend.leaving
+    later = _announcement(born_ms=UNIX_MS + 1, sequence=1)
+    registration.apply_announcement(tables, later, TTL_MS, world.now_ms)
+    assert not tables.runs.backend.leaving
+
+
+# A health check or late announcements outranked a leave that came first.
+def test_leave_of_a_server_that_is_not_known_yet_is_final():
+    world, tables = _restarted_node()
+    _leave(world, tables)
+    checked = _announcement(born_ms=0, sequence=0, born_max_ms=UNIX_MS)
+    registration.confirm_backend(tables, checked, TTL_MS, world.now_ms)
+    for sequence in (5, 6):
+        registration.apply_announcement(
+            tables, _announcement(sequence=sequence), TTL_MS, world.now_ms
+        )
+    assert tables.runs.backend is None
+    for sequence in (1, 2):
+        registration.apply_announcement(
+            tables,
+            _announcement(born_ms=UNIX_MS + 1, sequence=sequence),
+            TTL_MS,
+            world.now_ms,
+        )
+    assert not tables.runs.backend.leaving
+
+
+# The limit of a server was forgotten at its first announcement.
+def test_announcement_keeps_what_responses_said_before_it():
+    world, tables = _checked_node()
+    notice = notices.ServerNotice(rate_limit_per_s=5.0)
+    registration.record_notice(tables, notice, 0.0, world.now_ms)
+    checked = tables.runs.backend
+    registration.apply_announcement(
+        tables, _announcement(sequence=5, slots=33), TTL_MS, world.now_ms
+    )
+    assert tables.runs.server_limit.rate_per_s == 5.0
+    assert tables.runs.backend is checked
+    assert (checked.slots, checked.born_ms) == (33, 100)
+    own = tables.members.own
+    assert own.slots == 33
+
+
+# A server that had left and refused connections was used again.
+def test_leave_is_final_though_connections_are_refused():
+    world, tables = _restarted_node()
+    tables.confirms_announcements = False
+    registration.apply_announcement(
+        tables, _announcement(), TTL_MS, world.now_ms
+    )
+    _leave(world, tables)
+    registration.handle_probe_result(tables, False, world.now_ms)
+    registration.apply_announcement(
+        tables, _announcement(sequence=2), TTL_MS, world.now_ms
+    )
+    assert tables.runs.backend.leaving
