Refuse announcements with numbers or names out of range

What operators saw: one odd heartbeat with a start time of 10^30 put a sound server out of use for good, as its own later heartbeats counted as older; the same with a sequence number of 10^30 under its own id. With 10^30 slots a tick of its node ended in OverflowError.

Cause: the parser took any integer, so "the latest wins" had no upper end. An instance id from the path could hold a line break or characters outside of Latin-1: it travels in a header to the server.

Change: slots, sequence, start time and the rest of a slow start have bounds, and ids and services are visible ASCII of at most 255 characters. Whatever lies outside gets 400 and changes nothing. A slow start that is over by a little (below 0) counts as over.

--- a/fescueyard/platform/announcements.py
+++ b/fescueyard/platform/announcements.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import json
+import re
+import typing
 import urllib.parse
 
 import pydantic
@@ -20,17 +22,32 @@
 STATE_READY = "ready"
 STATE_DRAINING = "draining"
 
+# Larger numbers are malformed: nothing that follows could be told from them.
+SLOTS_MAX = 100_000
+SEQUENCE_MAX = 2**53
+START_TIME_MAX_MS = 4_102_444_800_000  # the year 2100
+COLD_MAX_MS = 86_400_000  # a day
+NAME_CHARS_MAX = 255
+ERROR_CHARS_MAX = 500
+
 _IGNORE_EXTRA = pydantic.ConfigDict(extra="ignore", strict=True)
 
 
+# Ids and services travel in headers and in datagrams.
+_NAME_PATTERN = re.compile(rf"[!-~]{{1,{NAME_CHARS_MAX}}}")
+_Name = typing.Annotated[
+    str, pydantic.Field(pattern=rf"^{_NAME_PATTERN.pattern}\z")
+]
+
+
 @dataclasses.dataclass(frozen=True)
 class _Info:
     """Properties that are constant for the lifetime of the server process."""
 
     __pydantic_config__ = _IGNORE_EXTRA
 
-    Service: str
-    Slots: int
+    Service: _Name
+    Slots: typing.Annotated[int, pydantic.Field(ge=1, le=SLOTS_MAX)]
 
 
 @dataclasses.dataclass(frozen=True)
@@ -41,8 +58,11 @@
 
     State: str
     # Increases with every announcement of the same process.
-    Sequence: int
-    ColdLeftMs: pydantic.FiniteFloat = 0
+    Sequence: typing.Annotated[int, pydantic.Field(ge=0, le=SEQUENCE_MAX)]
+    # Below 0 when its slow start is over.
+    ColdLeftMs: typing.Annotated[
+        float, pydantic.Field(ge=-COLD_MAX_MS, le=COLD_MAX_MS)
+    ] = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,7 +74,7 @@
     Status: _Status
     # Start time of the server process: milliseconds since the Unix epoch by
     # the server's own clock.
-    born: int = 0
+    born: typing.Annotated[int, pydantic.Field(ge=0, le=START_TIME_MAX_MS)] = 0
 
 
 _HEARTBEAT_ADAPTER = pydantic.TypeAdapter(_Heartbeat)
@@ -81,7 +101,9 @@
         announcement = parse(instance, request.body)
     except exceptions.RequestError as error:
         LOG.warning(
-            "announcement_refused", instance=instance, detail=error.detail
+            "announcement_refused",
+            instance=instance[:NAME_CHARS_MAX],
+            detail=error.detail[:ERROR_CHARS_MAX],
         )
         return _json_response(400)
     process.apply_announcement(announcement, now_ms)
@@ -107,10 +129,8 @@
         raise exceptions.RequestError(
             f"unknown state {heartbeat.Status.State!r}"
         )
-    if not instance or not heartbeat.Info.Service or heartbeat.Info.Slots < 1:
-        raise exceptions.RequestError(
-            "instance id or service is empty, or slots is below 1"
-        )
+    if not _NAME_PATTERN.fullmatch(instance):
+        raise exceptions.RequestError(f"malformed instance id {instance!r}")
     _check_address(heartbeat.Address)
     return announcements.Announcement(
         instance,
@@ -120,7 +140,7 @@
         heartbeat.born,
         heartbeat.Status.Sequence,
         heartbeat.Status.State == STATE_DRAINING,
-        heartbeat.Status.ColdLeftMs,
+        max(0.0, heartbeat.Status.ColdLeftMs),
     )
 
 
--- a/tests/platform/test_announcements.py
+++ b/tests/platform/test_announcements.py
@@ -93,7 +93,28 @@
         _with_change(("Address",), "10.128.0.9:\u00b2"),
         _with_change(("Status", "ColdLeftMs"), float("inf")),
         _with_change(("born",), "yesterday"),
+        _with_change(("born",), 10**30),
+        _with_change(("born",), -(10**30)),
+        _with_change(("born",), 10**13),
+        _with_change(("Status", "Sequence"), 10**30),
+        _with_change(("Status", "Sequence"), -1),
+        _with_change(("Status", "ColdLeftMs"), 1e308),
+        _with_change(("Status", "ColdLeftMs"), -1e308),
+        _with_change(("Info", "Slots"), 10**30),
+        _with_change(("Info", "Slots"), 10**15),
+        _with_change(("Info", "Service"), "orders\0"),
+        _with_change(("Info", "Service"), "orders\n"),
+        _with_change(("Info", "Service"), "o" * 256),
+        _with_change(("Info", "Service"), "\ud800"),
+        _with_change(("Info", "Extra"), 0).replace(
+            b'"Extra": 0', b'"Extra": ' + b"[" * 100_000 + b"]" * 100_000
+        ),
+        _with_change(("born",), 0).replace(b'"born": 0', b'"born": 1e999'),
+        _with_change(("born",), 0).replace(
+            b'"born": 0', b'"born": ' + b"9" * 5_000
+        ),
     ],
+    ids=lambda body: f"{len(body)} bytes",
 )
 def test_malformed_announcement_is_refused(body):
     status, reported = _send("PUT", "/v1/instances/i-1", body)
@@ -112,3 +133,17 @@
 )
 def test_other_requests_are_refused(method, target, status):
     assert _send(method, target)[0] == status
+
+
+# An id that breaks out of its header would smuggle another request.
+@pytest.mark.parametrize(
+    "instance", ["", "%0d%0aX-Tenant:%20a", "%00", "%e2%82%ac", "i" * 256]
+)
+def test_malformed_instance_id_is_refused(instance):
+    body = json.dumps(HEARTBEAT).encode()
+    assert _send("PUT", f"/v1/instances/{instance}", body) == (400, [])
+
+
+def test_server_that_is_past_its_slow_start_is_warm():
+    body = _with_change(("Status", "ColdLeftMs"), -250)
+    assert _send("PUT", "/v1/instances/i-1", body)[1][0].cold_ms == 0
