Use a sound server again after an odd announcement outranked it

What operators saw: one odd heartbeat, from another writer, put a sound server out of use for good: with a later start time under its own or another id, with a higher sequence number, or with a service that nobody names.

Cause: "latest wins" on numbers that somebody else supplies, with no end. One announcement outranked each later one of the process that runs.

Change: an announcement of another process whose service neither configuration nor settings name replaces nothing. Otherwise a process that goes on announcing itself applies again once nothing has come from the one that outranked it for half the time to live. Its leave, if it said one, is kept: a later announcement of it does not come back.

test_registration.py, "other service at the address": that service is now configured in the test, as an announcement of one that is not is left out; what it expects stays.

--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -29,6 +29,7 @@
     :param says_leaving: whether it has said itself that it is leaving, which
         is final. It may also be drained as it is out of reach, and come back.
     :param born_max_ms: upper bound of a start time that is not reported.
+    :param announced_at_ms: when it last announced itself.
     """
 
     service: str
@@ -43,6 +44,7 @@
     cold_until_ms: float | None = None
     says_leaving: bool = False
     born_max_ms: int = 0
+    announced_at_ms: float = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
@@ -145,8 +147,10 @@
     :param closed: whether the node is stopping and accepts no more runs.
     :param held_announcement: first announcement after a restart of the node,
         until it is confirmed; None for none.
-    :param left_at_unix_ms: time of day, in ms, at which a server that nothing
-        else was known of said that it leaves, by its id.
+    :param outdated_announcement: the last announcement that was older than
+        the one known; None for none.
+    :param left_at_unix_ms: servers other than the one known that said that
+        they leave: the time of day, in ms, at which they ran, by their id.
     :param outcome_counts: recent runs and failures of the backend server.
     :param server_limit: the limit that the backend server has named.
     """
@@ -167,6 +171,7 @@
     last_run_id: int = 0
     closed: bool = False
     held_announcement: announcements.Announcement | None = None
+    outdated_announcement: announcements.Announcement | None = None
     left_at_unix_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     outcome_counts: outcomes.OutcomeCounts = dataclasses.field(
         default_factory=outcomes.OutcomeCounts
--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -12,6 +12,7 @@
 from fescueyard.admission import models
 from fescueyard.admission import outcomes
 from fescueyard.admission import server_limit
+from fescueyard.configuration import models as configuration_models
 from fescueyard.core import codes
 from fescueyard.core import dispatch
 from fescueyard.core import effects
@@ -23,7 +24,7 @@
 LOG = logs.ComponentLogger("admission")
 
 CONNECT_FAILURES_MAX = 2
-# Servers that left before anything else was known of them.
+# Servers other than the one known whose leaves are kept.
 LEAVES_MAX = 16
 COLD_CHANGE_MIN_MS = 500
 
@@ -83,6 +84,8 @@
         limiter.reset(table.limiter, slots)
         table.outcome_counts = outcomes.OutcomeCounts()
         table.server_limit = server_limit.ServerLimit()
+        if backend is not None and backend.says_leaving:
+            _remember_leave(table, backend.instance, backend.born_ms)
         table.backend = models.Backend(
             service, address, slots, expires_at_ms, False
         )
@@ -117,14 +120,23 @@
     if _left_before(table, announcement):
         LOG.info("announcement_of_left", **_described(announcement))
         return
-    if announcements.is_outdated(backend, announcement):
-        _log_outdated(backend, announcement)
+    is_same_process = announcements.is_same_process(backend, announcement)
+    if not is_same_process and _is_of_unknown_service(tables, announcement):
+        LOG.info("announcement_of_no_service", **_described(announcement))
         return
+    if announcements.is_outdated(backend, announcement):
+        if not _returns(table, announcement, ttl_ms, now_ms):
+            _log_outdated(backend, announcement)
+            return
+        LOG.info(
+            "backend_returned",
+            known=backend.instance,
+            **_described(announcement),
+        )
     if _must_be_confirmed(tables, announcement):
         _hold(table, announcement)
         return
     table.held_announcement = None
-    is_same_process = announcements.is_same_process(backend, announcement)
     if is_same_process and backend.leaving and not announcement.leaving:
         # The process is draining or has ended; only a later process may
         # register.
@@ -149,11 +161,39 @@
     table.backend.instance = announcement.instance
     table.backend.born_ms = announcement.born_ms
     table.backend.born_max_ms = announcement.born_max_ms
+    table.backend.announced_at_ms = now_ms
     table.backend.sequence = announcement.sequence
     table.backend.connect_failures = 0
     _update_cold_until(tables, announcement.cold_ms, now_ms)
 
 
+def _is_of_unknown_service(tables, announcement):
+    """Return whether neither configuration nor settings name its service."""
+    services = tables.configuration.state.objects[
+        configuration_models.Kind.SERVICE
+    ]
+    return (
+        bool(services)
+        and announcement.service not in services
+        and announcement.service != tables.service
+    )
+
+
+def _returns(table, announcement, ttl_ms, now_ms):
+    """Return whether an outdated announcement applies nevertheless.
+
+    A single announcement, not from a server that runs, must not outrank the
+    others for good: the process that goes on announcing itself is the one
+    that runs, once nothing has come from the known one for a while.
+    """
+    last = table.outdated_announcement
+    table.outdated_announcement = announcement
+    silent_ms = now_ms - table.backend.announced_at_ms
+    return silent_ms >= ttl_ms / 2 and announcements.follows(
+        last, announcement
+    )
+
+
 def _left_before(table, announcement):
     """Return whether the process had left before it was known to this node."""
     left_at_unix_ms = table.left_at_unix_ms.get(announcement.instance)
--- a/tests/admission/test_registration.py
+++ b/tests/admission/test_registration.py
@@ -95,6 +95,8 @@
     reported, expected = CASES[name]
     world = setups.start_routed_fleet(zones=("zone-a",))
     tables = world.nodes["orders-zone-a"].tables
+    setups.put_object(world, "service", "billing", profile="standard")
+    world.run(1_500)
     tables.runs.backend = None
     for announcement in reported:
         registration.apply_announcement(
@@ -347,3 +349,64 @@
         tables, _announcement(sequence=2), TTL_MS, world.now_ms
     )
     assert tables.runs.backend.leaving
+
+
+def _running_node():
+    """Return the world and tables of a node whose server is unknown yet."""
+    world, tables = _restarted_node()
+    tables.confirms_announcements = False
+    world.nodes["orders-zone-a"].backend.announces = False
+    return world, tables
+
+
+HEARTBEAT_MS = 1_500
+ODD_ANNOUNCEMENTS = {
+    "later start, another id": _announcement("i-odd", born_ms=900),
+    "later start": _announcement(born_ms=900),
+    "sequence": _announcement(sequence=2**53),
+    "leaving": _announcement("i-odd", born_ms=900, leaving=True),
+    "service that is not configured": _announcement(
+        "i-odd", born_ms=900, service="nowhere"
+    ),
+    "leaving, of no service": _announcement(
+        "i-odd", born_ms=900, service="nowhere", leaving=True
+    ),
+}
+
+
+# One odd announcement put a sound server out of use for good.
+@pytest.mark.parametrize("name", ODD_ANNOUNCEMENTS)
+def test_odd_announcement_does_not_outrank_a_sound_server(name):
+    world, tables = _running_node()
+    odd = ODD_ANNOUNCEMENTS[name]
+    sound = _announcement(sequence=10)
+    registration.apply_announcement(tables, sound, TTL_MS, world.now_ms)
+    registration.apply_announcement(tables, odd, TTL_MS, world.now_ms)
+    used = []
+    for sequence in range(11, 15):
+        world.run(HEARTBEAT_MS)
+        sound = _announcement(sequence=sequence)
+        registration.apply_announcement(tables, sound, TTL_MS, world.now_ms)
+        backend = tables.runs.backend
+        used.append(backend.born_ms == 100 and not backend.leaving)
+    assert used[2:] == [True, True]
+    if odd.service == "nowhere":
+        assert all(used)
+        return
+    late = _announcement("i-odd", born_ms=900, sequence=0)
+    registration.apply_announcement(tables, late, TTL_MS, world.now_ms)
+    if odd.leaving:
+        assert tables.runs.backend.instance == "i-1"
+
+
+def test_late_announcements_do_not_outrank_a_server_that_runs():
+    world, tables = _running_node()
+    for sequence in range(1, 9):
+        running = _announcement("i-2", born_ms=200, sequence=sequence)
+        late = _announcement(sequence=sequence)
+        for announcement in (running, late, late):
+            registration.apply_announcement(
+                tables, announcement, TTL_MS, world.now_ms
+            )
+        assert tables.runs.backend.instance == "i-2"
+        world.run(HEARTBEAT_MS)
