Refuse odd numbers in the settings file and the configuration by number

What an operator would have seen: a settings file with GraceS = 1e308, inf or nan, not in UTF-8 or nested too deeply ended a starting process with a traceback, and a reload on SIGHUP had no effect and no line; a burst of 400 digits, given through the administration API, was acknowledged, and the grantor of rates of each control leader then failed on it.

Priority, attempts, objective and burst of 10^30 were served before and are.

Evidence: of the new tests those of GraceS, of both unreadable files and of the integers without a float failed before.

--- a/fescueyard/configuration/models.py
+++ b/fescueyard/configuration/models.py
@@ -15,8 +15,10 @@
 _STRICT = pydantic.ConfigDict(extra="forbid", strict=True)
 
 Priority = typing.Annotated[int, pydantic.Field(ge=0, le=7)]
-PositiveInt = typing.Annotated[int, pydantic.Field(ge=1)]
-NonNegativeInt = typing.Annotated[int, pydantic.Field(ge=0)]
+# Larger integers have no float, and arithmetic with them fails.
+INTEGER_MAX = 10**300
+PositiveInt = typing.Annotated[int, pydantic.Field(ge=1, le=INTEGER_MAX)]
+NonNegativeInt = typing.Annotated[int, pydantic.Field(ge=0, le=INTEGER_MAX)]
 Ratio = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
 Rate = typing.Annotated[float, pydantic.Field(gt=0, le=1e7)]
 TIMEOUT_MAX_MS = 600_000
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -23,6 +23,7 @@
 # moved to other VMs.
 LEAVE_NOTICE_MS = 2_600
 BODY_BYTES_MAX = 16 * 1024 * 1024
+GRACE_MAX_S = 86_400.0  # a day
 
 _IGNORE_EXTRA = pydantic.ConfigDict(extra="ignore")
 _Count = pydantic.NonNegativeInt
@@ -87,7 +88,7 @@
 class _BoundsTable:
     __pydantic_config__ = _IGNORE_EXTRA
 
-    GraceS: float = 6.0
+    GraceS: typing.Annotated[float, pydantic.Field(ge=0, le=GRACE_MAX_S)] = 6.0
     # False: a VM that is cut off from the control VMs continues to serve
     # requests with keys.
     FailClosed: bool = True
@@ -212,12 +213,13 @@
         raise exceptions.SettingsError(
             f"can't read the settings file {file_path!r}: {error.strerror}"
         ) from None
-    except tomllib.TOMLDecodeError as error:
-        raise exceptions.SettingsError(f"settings file: {error}") from None
     except pydantic.ValidationError as error:
         raise exceptions.SettingsError(
             configuration_models.format_validation_error(error)
         ) from None
+    except (ValueError, RecursionError) as error:
+        # No UTF-8, no TOML, or nested too deeply.
+        raise exceptions.SettingsError(f"settings file: {error}") from None
 
 
 def _process_values(parsed, metrics_port):
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -107,3 +107,42 @@
     monkeypatch.setenv("FESCUEYARD_BOOT", "/nowhere/settings.toml")
     with pytest.raises(exceptions.SettingsError):
         settings.read_control()
+
+
+ODD_VALUES = [
+    "1e308",
+    "-1",
+    "inf",
+    "nan",
+    "1" + "0" * 30,
+    "[]",
+    "{}",
+    "true",
+    '"x\\u0000"',
+]
+ENTRIES = [line for line in TEXT.splitlines() if "=" in line]
+
+
+# A reload with an odd number raised and left the signal without effect.
+@pytest.mark.parametrize("value", ODD_VALUES)
+def test_odd_value_is_accepted_or_refused_with_its_number(write, value):
+    for entry in ENTRIES:
+        name = entry.partition("=")[0]
+        write(TEXT.replace(entry, f"{name}= {value}"))
+        for read in (
+            settings.read_node,
+            settings.read_control,
+            settings.read_profile,
+        ):
+            try:
+                read()
+            except exceptions.SettingsError as error:
+                assert error.code.number == 4000
+
+
+@pytest.mark.parametrize("content", [b"\xff\xfe", b"a = " + b"[" * 100_000])
+def test_unreadable_file_is_refused(write, tmp_path, content):
+    write("")
+    (tmp_path / "settings.toml").write_bytes(content)
+    with pytest.raises(exceptions.SettingsError):
+        settings.read_node()
