End only the connection whose set-up raises

The exception handler of the event loop knew a connection's callbacks by the transport that they are bound to. connection_made is bound to the protocol and gets the transport as its argument, so an error there, such as a socket option refused on a connection that was reset, would have ended the process.

Evidence: the new case ended with status 70 before, and ends with 0.

--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -87,10 +87,18 @@
 
 
 def _callback_owner(context):
-    """Return the transport whose callback raised, or None."""
-    callback = getattr(context.get("handle"), "_callback", None)
-    owner = getattr(callback, "__self__", None)
-    return owner if isinstance(owner, asyncio.BaseTransport) else None
+    """Return the transport whose callback raised, or None.
+
+    The event loop calls most of them on the transport, and ``connection_made``
+    with it.
+    """
+    handle = context.get("handle")
+    callback = getattr(handle, "_callback", None)
+    arguments = getattr(handle, "_args", None) or ()
+    for owner in (getattr(callback, "__self__", None), *arguments):
+        if isinstance(owner, asyncio.BaseTransport):
+            return owner
+    return None
 
 
 def _start_background(loop, coroutine):
--- a/tests/transport/test_process.py
+++ b/tests/transport/test_process.py
@@ -23,6 +23,10 @@
         reader, writer = await asyncio.open_connection(*address)
         writer.write(sys.argv[1].encode())
         await reader.read()
+        Connection.raises = sys.argv[1] == "made"
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(b"nothing")
+        await reader.read()
         loop.call_later(0.1, self.stopped.set_result, None)
         if sys.argv[1] == "tick":
             loop.call_soon(self.reload)
@@ -34,8 +38,12 @@
 
 
 class Connection(asyncio.Protocol):
+    raises = False
+
     def connection_made(self, transport):
         self.transport = transport
+        if self.raises:
+            raise OSError("odd option")
 
     def data_received(self, data):
         if data == b"bytes":
@@ -49,6 +57,7 @@
 """
 CASES = {
     "nothing": (0, "reload_failed"),
+    "made": (0, "connection_failed"),
     "bytes": (0, "connection_failed"),
     "tables": (failures.EXIT_STATUS, "process_failed"),
     "tick": (failures.EXIT_STATUS, "process_failed"),
