Drain a server for which another one responds at its address

Cause: a 421 is the strongest evidence that the registered server isn't there, but only refused connections drained it.

Change: two runs in a row that another server answered drain it like two refused connections, so that requests go to other servers at once. A server that announces itself then applies at its next announcement, also when the one that can't be reached started later.

Evidence: the new test fails with CONNECT_FAILED as the only such result.

--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -24,7 +24,8 @@
     :param born_ms: start time of its process by its own clock, in ms; 0 when
         not reported.
     :param sequence: number of its latest announcement.
-    :param connect_failures: consecutive connections that it did not accept.
+    :param connect_failures: consecutive runs that did not reach it, as it
+        accepted no connection or another server responded.
     :param cold_until_ms: end of its slow start; None when not reported.
     :param says_leaving: whether it has said itself that it is leaving, which
         is final. It may also be drained as it is out of reach, and come back.
--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -24,6 +24,8 @@
 LOG = logs.ComponentLogger("admission")
 
 CONNECT_FAILURES_MAX = 2
+# Results of runs that did not reach the backend server.
+OUT_OF_REACH_CODES = (codes.CONNECT_FAILED, codes.WRONG_INSTANCE)
 # Servers other than the one known whose leaves are kept.
 LEAVES_MAX = 16
 COLD_CHANGE_MIN_MS = 500
@@ -184,10 +186,13 @@
 
     A single announcement, not from a server that runs, must not outrank the
     others for good: the process that goes on announcing itself is the one
-    that runs, once nothing has come from the known one for a while.
+    that runs, once nothing has come from the known one for a while, or once
+    that one can't be reached.
     """
     last = table.outdated_announcement
     table.outdated_announcement = announcement
+    if table.backend.connect_failures >= CONNECT_FAILURES_MAX:
+        return True
     silent_ms = now_ms - table.backend.announced_at_ms
     return silent_ms >= ttl_ms / 2 and announcements.follows(
         last, announcement
@@ -446,7 +451,9 @@
 
 
 def record_connect_result(tables, code, now_ms):
-    """Drain a backend server that keeps refusing connections.
+    """Drain a backend server that can't be reached at its address.
+
+    It keeps refusing connections, or another one responds there.
 
     :param tables: the node's tables.
     :param code: result code of a run.
@@ -455,7 +462,7 @@
     backend = tables.runs.backend
     if backend is None or not tables.routed:
         return
-    if code is not codes.CONNECT_FAILED:
+    if code not in OUT_OF_REACH_CODES:
         backend.connect_failures = 0
         return
     backend.connect_failures += 1
--- a/tests/admission/test_registration.py
+++ b/tests/admission/test_registration.py
@@ -5,6 +5,7 @@
 from fescueyard.admission import announcements
 from fescueyard.admission import discovery
 from fescueyard.admission import registration
+from fescueyard.core import codes
 from fescueyard.core import http
 from fescueyard.core import notices
 from tests import setups
@@ -410,3 +411,24 @@
             )
         assert tables.runs.backend.instance == "i-2"
         world.run(HEARTBEAT_MS)
+
+
+# Requests went on to a server that another one had answered for.
+def test_server_for_which_another_one_responds_is_drained():
+    world, tables = _running_node()
+    registration.apply_announcement(
+        tables, _announcement(sequence=10), TTL_MS, world.now_ms
+    )
+    odd = _announcement("i-odd", born_ms=900)
+    registration.apply_announcement(tables, odd, TTL_MS, world.now_ms)
+    for _ in range(registration.CONNECT_FAILURES_MAX):
+        assert not tables.runs.backend.leaving
+        registration.record_connect_result(
+            tables, codes.WRONG_INSTANCE, world.now_ms
+        )
+    assert tables.runs.backend.leaving
+    registration.apply_announcement(
+        tables, _announcement(sequence=11), TTL_MS, world.now_ms
+    )
+    assert tables.runs.backend.instance == "i-1"
+    assert not tables.runs.backend.leaving
