--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -1,7 +1,6 @@
 """The node process: connects the node's tables to sockets and the clock."""
 
 import asyncio
-import concurrent.futures
 import dataclasses
 import functools
 import random
@@ -17,7 +16,6 @@
 from fescueyard.core import codes
 from fescueyard.core import dispatch
 from fescueyard.core import dumps
-from fescueyard.core import effects
 from fescueyard.core import exceptions
 from fescueyard.core import exposition as core_exposition
 from fescueyard.core import failures
@@ -29,6 +27,7 @@
 from fescueyard.ingress import overlap
 from fescueyard.ingress import systems as ingress
 from fescueyard.node import backend_api
+from fescueyard.node import execution
 from fescueyard.node import exposition
 from fescueyard.node import metrics
 from fescueyard.node import systems
@@ -38,7 +37,6 @@
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import traffic
 from fescueyard.transport import backend_client
-from fescueyard.transport import backend_connection
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
 from fescueyard.transport import streams
@@ -166,8 +164,13 @@
             tables.interface.names,
             requires_echo=tables.routed,
         )
-        self._connections = {}
-        self._run_futures = {}
+        self._executor = execution.Executor(
+            self._stream_pool,
+            self._datagram_socket,
+            self._backend_client,
+            self._run_completed,
+            self._probe_completed,
+        )
         self._shutting_down = False
         self._applied_version = -1
         self._discovery_attempts_left = discovery.ATTEMPTS_MAX
@@ -250,10 +253,10 @@
 
     def request_received(self, exchange_id, request, connection, from_backend):
         """Handle a request of a caller or of the backend server."""
-        self._connections[exchange_id] = connection
+        self._executor.connections[exchange_id] = connection
         now_ms = clock.now_ms()
         if from_backend and request.target.startswith(backend_api.PREFIX):
-            self._send_response(
+            self._executor.respond(
                 exchange_id, self._respond_to_api_request(request, now_ms)
             )
         else:
@@ -264,7 +267,7 @@
 
     def caller_left(self, exchange_id):
         """Cancel the call of a caller that has disconnected."""
-        self._connections.pop(exchange_id, None)
+        self._executor.connections.pop(exchange_id, None)
         now_ms = clock.now_ms()
         ingress.caller_left(self._tables, exchange_id, now_ms)
         self._process_pending(now_ms)
@@ -409,11 +412,6 @@
             return problems.problem_response(error.code, error.detail)
         return _json_response(backend_api.status_body(tables))
 
-    def _send_response(self, exchange_id, response):
-        connection = self._connections.pop(exchange_id, None)
-        if connection is not None:
-            connection.respond(exchange_id, response)
-
     def _tick(self):
         now_ms = clock.now_ms()
         self._timer = None
@@ -513,22 +511,10 @@
         while self._tables.effects:
             pending = self._tables.effects
             self._tables.effects = []
-            for effect in pending:
-                try:
-                    _apply_effect(effect, self)
-                except Exception as error:
-                    failures.contain(
-                        LOG,
-                        "effect_failed",
-                        error,
-                        effect=type(effect).__name__,
-                    )
-                    _handle_failed_effect(effect, self)
+            self._executor.execute(pending)
 
     @_ends_process_on_error
-    def _run_completed(self, run_id, future):
-        self._run_futures.pop(run_id, None)
-        result = future.result()
+    def _run_completed(self, run_id, result):
         now_ms = clock.now_ms()
         admission.finish_run(
             self._tables,
@@ -596,80 +582,6 @@
     tables: node_tables.NodeTables
 
 
-@functools.singledispatch
-def _apply_effect(effect, node):
-    raise TypeError(f"unknown effect: {effect!r}")
-
-
-@_apply_effect.register
-def _send_message(effect: effects.SendMessage, node):
-    node._stream_pool.send(addresses.parse(effect.address), effect.message)
-
-
-@_apply_effect.register
-def _send_reply(effect: effects.SendReply, node):
-    if effect.stream is not None and effect.stream.ready:
-        effect.stream.send(effect.message)
-
-
-@_apply_effect.register
-def _send_datagram(effect: effects.SendDatagram, node):
-    node._datagram_socket.send(effect.address, effect.message)
-
-
-@_apply_effect.register
-def _dial(effect: effects.Dial, node):
-    node._stream_pool.dial(addresses.parse(effect.address))
-
-
-@_apply_effect.register
-def _drop_stream(effect: effects.DropStream, node):
-    node._stream_pool.abort(addresses.parse(effect.address))
-
-
-@_apply_effect.register
-def _respond_to_caller(effect: effects.RespondToCaller, node):
-    node._send_response(effect.exchange_id, effect.response)
-
-
-@_apply_effect.register
-def _start_run(effect: effects.StartRun, node):
-    future = node._backend_client.fetch(
-        f"http://{effect.address}", effect.request, effect.idempotent
-    )
-    node._run_futures[effect.run_id] = future
-    future.add_done_callback(
-        functools.partial(node._run_completed, effect.run_id)
-    )
-
-
-@_apply_effect.register
-def _probe_backend(effect: effects.ProbeBackend, node):
-    task = node._backend_client.probe(f"http://{effect.address}")
-    task.add_done_callback(node._probe_completed)
-
-
-@_apply_effect.register
-def _abort_run(effect: effects.AbortRun, node):
-    future = node._run_futures.pop(effect.run_id, None)
-    if future is not None:
-        node._backend_client.cancel(future)
-
-
-@functools.singledispatch
-def _handle_failed_effect(effect, node):
-    """Report an effect that could not be executed to what waits for it."""
-
-
-@_handle_failed_effect.register
-def _handle_failed_run(effect: effects.StartRun, node):
-    # How much of the request was written is not known.
-    result = backend_connection.BackendResult(None, codes.BACKEND_FAILED)
-    future = concurrent.futures.Future()
-    future.set_result(result)
-    node._run_completed(effect.run_id, future)
-
-
 async def start(settings, **options):
     """Start a node.
 
--- a/tests/node/test_app.py
+++ b/tests/node/test_app.py
@@ -63,7 +63,7 @@
 def test_effect_that_fails_does_not_drop_those_behind_it(effect):
     def act(node):
         connection = Connection()
-        node._connections[7] = connection
+        node._executor.connections[7] = connection
         response = http.HttpResponse(200, [], b"")
         node._tables.effects += [effect, effects.RespondToCaller(7, response)]
         node._apply_effects()
@@ -98,7 +98,7 @@
     def act(node):
         stream = Stream()
         connection = Connection()
-        node._connections[7] = connection
+        node._executor.connections[7] = connection
         response = http.HttpResponse(200, [], b"")
         node._tables.effects.append(effects.RespondToCaller(7, response))
         monkeypatch.setattr(dispatch, "receive", receive)
