Let a sound server outlast an odd announcement held after a restart

After a restart a node holds the first announcement until a later one of the same process follows. An odd one with a later start time stayed held for good: each sound announcement counted as older, so the server was never used unless its health check confirmed it. Same cause as the odd announcement to a running node, and the same way back: a process that goes on announcing itself replaces it once nothing more has come from the other one.

Evidence: the new test failed before (no server registered after four announcements in a row).

--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -148,6 +148,7 @@
     :param closed: whether the node is stopping and accepts no more runs.
     :param held_announcement: first announcement after a restart of the node,
         until it is confirmed; None for none.
+    :param held_at_ms: when it arrived.
     :param outdated_announcement: the last announcement that was older than
         the one known; None for none.
     :param left_at_unix_ms: servers other than the one known that said that
@@ -172,6 +173,7 @@
     last_run_id: int = 0
     closed: bool = False
     held_announcement: announcements.Announcement | None = None
+    held_at_ms: float = float("-inf")
     outdated_announcement: announcements.Announcement | None = None
     left_at_unix_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     outcome_counts: outcomes.OutcomeCounts = dataclasses.field(
--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -127,7 +127,7 @@
         LOG.info("announcement_of_no_service", **_described(announcement))
         return
     if announcements.is_outdated(backend, announcement):
-        if not _returns(table, announcement, ttl_ms, now_ms):
+        if not _has_returned(table, announcement, ttl_ms, now_ms):
             _log_outdated(backend, announcement)
             return
         LOG.info(
@@ -136,7 +136,7 @@
             **_described(announcement),
         )
     if _must_be_confirmed(tables, announcement):
-        _hold(table, announcement)
+        _hold(table, announcement, ttl_ms, now_ms)
         return
     table.held_announcement = None
     if is_same_process and backend.leaving and not announcement.leaving:
@@ -181,19 +181,24 @@
     )
 
 
-def _returns(table, announcement, ttl_ms, now_ms):
+def _has_returned(table, announcement, ttl_ms, now_ms):
+    """Return whether an outdated announcement replaces the known server."""
+    silent_ms = now_ms - table.backend.announced_at_ms
+    outlasts = _outlasts(table, announcement, silent_ms, ttl_ms)
+    return outlasts or table.backend.connect_failures >= CONNECT_FAILURES_MAX
+
+
+def _outlasts(table, announcement, silent_ms, ttl_ms):
     """Return whether an outdated announcement applies nevertheless.
 
     A single announcement, not from a server that runs, must not outrank the
     others for good: the process that goes on announcing itself is the one
-    that runs, once nothing has come from the known one for a while, or once
-    that one can't be reached.
+    that runs, once nothing has come from the other one for a while.
+
+    :param silent_ms: time since the announcement that outranks it.
     """
     last = table.outdated_announcement
     table.outdated_announcement = announcement
-    if table.backend.connect_failures >= CONNECT_FAILURES_MAX:
-        return True
-    silent_ms = now_ms - table.backend.announced_at_ms
     return silent_ms >= ttl_ms / 2 and announcements.follows(
         last, announcement
     )
@@ -269,7 +274,7 @@
     )
 
 
-def _hold(table, announcement):
+def _hold(table, announcement, ttl_ms, now_ms):
     LOG.info(
         "announcement_held",
         instance=announcement.instance,
@@ -277,8 +282,12 @@
         sequence=announcement.sequence,
     )
     held = table.held_announcement
-    if held is None or not announcements.is_older(announcement, held):
-        table.held_announcement = announcement
+    if held is not None and announcements.is_older(announcement, held):
+        silent_ms = now_ms - table.held_at_ms
+        if not _outlasts(table, announcement, silent_ms, ttl_ms):
+            return
+    table.held_announcement = announcement
+    table.held_at_ms = now_ms
 
 
 def confirm_backend(tables, announcement, ttl_ms, now_ms):
--- a/tests/admission/test_registration.py
+++ b/tests/admission/test_registration.py
@@ -454,3 +454,16 @@
     for run_id in list(node.runs):
         world._report_run_end(node, run_id, None, codes.WRONG_INSTANCE)
     assert not node.tables.runs.backend.leaving
+
+
+# One odd announcement right after a restart kept the server out for good.
+def test_odd_announcement_after_a_restart_does_not_outrank_a_sound_server():
+    world, tables = _running_node()
+    tables.confirms_announcements = True
+    odd = _announcement("i-odd", born_ms=900)
+    registration.apply_announcement(tables, odd, TTL_MS, world.now_ms)
+    for sequence in range(1, 5):
+        world.run(HEARTBEAT_MS)
+        sound = _announcement(sequence=sequence)
+        registration.apply_announcement(tables, sound, TTL_MS, world.now_ms)
+    assert tables.runs.backend.instance == "i-1"
