Send a response that was given before its request failed

The commit that answers a request whose handling fails with 500 also replaced a response that the handler had given before it failed: a caller whose request had run was told of an internal error.

Evidence: the new test got 500 before.

--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -239,11 +239,12 @@
             failures.contain(
                 LOG, "request_failed", error, exchange=exchange.exchange_id
             )
-            self._cancel(exchange)
-            self.respond(
-                exchange.exchange_id,
-                problems.problem_response(codes.INTERNAL_ERROR),
-            )
+            if exchange.response is None:
+                self._cancel(exchange)
+                self.respond(
+                    exchange.exchange_id,
+                    problems.problem_response(codes.INTERNAL_ERROR),
+                )
 
     def _cancel(self, exchange):
         """Tell the handler that a request needs no response any more."""
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -175,6 +175,25 @@
     assert len(handler.left) == len(handler.requests) == 2
 
 
+def test_response_given_before_a_failure_is_sent():
+    class RespondingHandler(Handler):
+        """Responds, then fails."""
+
+        def request_received(self, exchange_id, request, connection):
+            """Respond to a request and fail."""
+            super().request_received(exchange_id, request, connection)
+            raise KeyError("odd row")
+
+    async def exchange(reader, writer):
+        writer.write(REQUEST)
+        return await reader.readuntil(b"fleece")
+
+    handler = RespondingHandler()
+    response = asyncio.run(_serve(handler, exchange))
+    assert response.startswith(b"HTTP/1.1 200 ")
+    assert not handler.left
+
+
 # A connection whose timeout raised kept all idle ones open for good.
 def test_connection_that_can_not_be_closed_does_not_end_the_sweep(monkeypatch):
     class Connection:
