Write the reason of a process's end above the limit of log lines

process_failed counted against the budget of decisions: in a burst of errors the one line that says why the process ended could be left out.

Evidence: the new test failed before (TypeError for is_last; with the line written like the others it is missing). _described is _log_fields.

--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -98,7 +98,10 @@
 
 
 def _is_known_in_part(backend, service, address):
-    """Return whether a server was found by its health check only."""
+    """Return whether the server was found by its health check, and is used.
+
+    Its slots were a guess; what its responses said since stays.
+    """
     return (
         backend is not None
         and backend.born_max_ms > 0
@@ -120,11 +123,11 @@
     table = tables.runs
     backend = table.backend
     if _left_before(table, announcement):
-        LOG.info("announcement_of_left", **_described(announcement))
+        LOG.info("announcement_of_left", **_log_fields(announcement))
         return
     is_same_process = announcements.is_same_process(backend, announcement)
     if not is_same_process and _is_of_unknown_service(tables, announcement):
-        LOG.info("announcement_of_no_service", **_described(announcement))
+        LOG.info("announcement_of_no_service", **_log_fields(announcement))
         return
     if announcements.is_outdated(backend, announcement):
         if not _has_returned(table, announcement, ttl_ms, now_ms):
@@ -133,7 +136,7 @@
         LOG.info(
             "backend_returned",
             known=backend.instance,
-            **_described(announcement),
+            **_log_fields(announcement),
         )
     if _must_be_confirmed(tables, announcement):
         _hold(table, announcement, ttl_ms, now_ms)
@@ -143,10 +146,10 @@
         # The process is draining or has ended; only a later process may
         # register.
         if not _may_return(backend):
-            LOG.info("announcement_of_left", **_described(announcement))
+            LOG.info("announcement_of_left", **_log_fields(announcement))
             return
     if not is_same_process or backend.leaving or announcement.leaving:
-        LOG.info("backend_announced", **_described(announcement))
+        LOG.info("backend_announced", **_log_fields(announcement))
     if announcement.leaving:
         _apply_leaving(tables, announcement, now_ms)
     else:
@@ -250,7 +253,7 @@
     )
 
 
-def _described(announcement):
+def _log_fields(announcement):
     """Return the fields of a log line about an announcement."""
     return {
         "instance": announcement.instance,
--- a/fescueyard/core/failures.py
+++ b/fescueyard/core/failures.py
@@ -37,6 +37,6 @@
     :param error: the exception.
     :param activity: what the process was doing.
     """
-    LOG.failure("process_failed", error, activity=activity)
+    LOG.failure("process_failed", error, is_last=True, activity=activity)
     logs.close_sink()
     os._exit(EXIT_STATUS)
--- a/fescueyard/core/logs.py
+++ b/fescueyard/core/logs.py
@@ -179,7 +179,7 @@
             "[%s] %s%s", self._component, event, _format_fields(fields)
         )
 
-    def failure(self, event, error, **fields):
+    def failure(self, event, error, is_last=False, **fields):
         """Log an unexpected error and where it was raised.
 
         The lines count against the limit of those about decisions: an error
@@ -187,11 +187,12 @@
 
         :param event: name of the event.
         :param error: the exception.
+        :param is_last: whether it ends the process; not limited.
         :param fields: what it ends.
         """
         fields.update(error=repr(error)[:ERROR_CHARS_MAX], at=_origin(error))
         if _sink is not None:
-            _write("E", self._component, event, fields, True)
+            _write("E", self._component, event, fields, not is_last)
             return
         logging.error(
             "[%s] %s%s", self._component, event, _format_fields(fields)
--- a/tests/core/test_logs.py
+++ b/tests/core/test_logs.py
@@ -65,3 +65,21 @@
     sink.flush(1.0)
     assert not sink._pending
     os.close(writer)
+
+
+# The reason of a process's end was dropped while its log was at its limit.
+def test_last_failure_is_written_above_the_limit_of_decisions(tmp_path):
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_CREAT | os.O_WRONLY)
+    logs.open_sink(descriptor)
+    logger = logs.ComponentLogger("test")
+    try:
+        for _ in range(2 * logs.DECISIONS_BURST):
+            logger.failure("input_failed", ValueError("odd"))
+        logger.failure("process_failed", ValueError("odd"), is_last=True)
+    finally:
+        logs.close_sink()
+        os.close(descriptor)
+    lines = path.read_text().splitlines()
+    assert len(lines) < 2 * logs.DECISIONS_BURST
+    assert "process_failed" in "".join(lines[-2:])
