Use a server again after its announcements were only silent

Silence was taken for a leave.

Change: only what a server says itself is final for its process. After silence, as after refused connections, its next announcement makes it used again, in the same row: the limit that it named stays. backend_silent is logged.

--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -1,7 +1,8 @@
 """Registration of this VM's backend server: who it is, and whether it leaves.
 
-It announces itself to its node. It counts as gone when its announcements stop,
-when it reports that it is leaving, or when it no longer accepts connections.
+It announces itself to its node. It is drained when its announcements stop,
+when it reports that it is leaving, or when it can't be reached. Only its own
+report is final for its process; its next announcement ends the other two.
 Each change is published to the fleet.
 """
 
@@ -77,9 +78,12 @@
     )
     if is_renewal:
         backend.expires_at_ms = expires_at_ms
-    elif _is_known_in_part(backend, service, address) and not is_new_process:
+    elif not is_new_process and _is_known(backend, service, address):
+        # In reach again, or found by its health check before. What its
+        # responses said stays.
         backend.expires_at_ms = expires_at_ms
         backend.slots = slots
+        backend.leaving = False
         limiter.reset(table.limiter, slots)
         _publish_backend(tables, now_ms)
     else:
@@ -97,15 +101,11 @@
     timers.schedule(tables.timers, expires_at_ms, BackendExpiryDue())
 
 
-def _is_known_in_part(backend, service, address):
-    """Return whether the server was found by its health check, and is used.
-
-    Its slots were a guess; what its responses said since stays.
-    """
+def _is_known(backend, service, address):
+    """Return whether a server with an id is known at an address."""
     return (
         backend is not None
-        and backend.born_max_ms > 0
-        and not backend.leaving
+        and bool(backend.instance)
         and (backend.service, backend.address) == (service, address)
     )
 
@@ -142,12 +142,10 @@
         _hold(table, announcement, ttl_ms, now_ms)
         return
     table.held_announcement = None
-    if is_same_process and backend.leaving and not announcement.leaving:
-        # The process is draining or has ended; only a later process may
-        # register.
-        if not _may_return(backend):
-            LOG.info("announcement_of_left", **_log_fields(announcement))
-            return
+    if is_same_process and backend.says_leaving and not announcement.leaving:
+        # Only a later process may register.
+        LOG.info("announcement_of_left", **_log_fields(announcement))
+        return
     if not is_same_process or backend.leaving or announcement.leaving:
         LOG.info("backend_announced", **_log_fields(announcement))
     if announcement.leaving:
@@ -215,17 +213,6 @@
     )
 
 
-def _may_return(backend):
-    """Return whether a drained backend server may register again.
-
-    One that said that it leaves may not. One that refused connections may, as
-    may one that its health check found and that was silent since.
-    """
-    if backend.says_leaving:
-        return False
-    return backend.connect_failures > 0 or backend.born_max_ms > 0
-
-
 def _apply_leaving(tables, announcement, now_ms):
     """Drain the backend server, or record that an unknown one is leaving."""
     if tables.runs.backend is None:
@@ -487,8 +474,11 @@
 @dispatch.handle.register
 def _handle_backend_expiry(event: BackendExpiryDue, tables, now_ms):
     backend = tables.runs.backend
-    if backend is not None and now_ms >= backend.expires_at_ms:
-        drain_backend(tables, now_ms)
+    if backend is None or now_ms < backend.expires_at_ms:
+        return
+    if not backend.leaving:
+        LOG.info("backend_silent", instance=backend.instance)
+    drain_backend(tables, now_ms)
 
 
 def _publish_backend(tables, now_ms):
--- a/tests/admission/test_registration.py
+++ b/tests/admission/test_registration.py
@@ -467,3 +467,21 @@
         sound = _announcement(sequence=sequence)
         registration.apply_announcement(tables, sound, TTL_MS, world.now_ms)
     assert tables.runs.backend.instance == "i-1"
+
+
+# A server whose announcements had been delayed was never used again.
+def test_server_that_was_silent_is_used_again_as_it_was():
+    world, tables = _running_node()
+    registration.apply_announcement(
+        tables, _announcement(), TTL_MS, world.now_ms
+    )
+    notice = notices.ServerNotice(rate_limit_per_s=5.0)
+    registration.record_notice(tables, notice, 0.0, world.now_ms)
+    world.run(TTL_MS + 1_000)
+    assert tables.runs.backend.leaving
+    registration.apply_announcement(
+        tables, _announcement(sequence=2), TTL_MS, world.now_ms
+    )
+    assert not tables.runs.backend.leaving
+    assert tables.members.own.accepting
+    assert tables.runs.server_limit.rate_per_s == 5.0
