End the process with its datagram socket

The exception handler took the transport of datagrams for a connection, since the event loop's class is a subclass of asyncio.Transport. It would have aborted the only socket of the gossip and left a process that runs without it; now the type of the socket decides.

Evidence: the new case ended with status 0 before, and ends with 70.

--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -4,6 +4,7 @@
 import gc
 import os
 import signal
+import socket
 import sys
 import time
 
@@ -77,7 +78,7 @@
         return
     owner = context.get("transport") or _callback_owner(context)
     is_inconsistent = isinstance(error, exceptions.InconsistentTablesError)
-    if isinstance(owner, asyncio.Transport) and not is_inconsistent:
+    if _is_connection(owner) and not is_inconsistent:
         LOG.failure("connection_failed", error, message=context["message"])
         owner.abort()
         return
@@ -86,6 +87,14 @@
     LOG.failure("event_loop", error, message=context["message"])
 
 
+def _is_connection(owner):
+    """Return whether a transport is that of a TCP connection."""
+    if owner is None:
+        return False
+    # The transport of datagrams is an asyncio.Transport as well.
+    return owner.get_extra_info("socket").type == socket.SOCK_STREAM
+
+
 def _callback_owner(context):
     """Return the transport whose callback raised, or None.
 
--- a/tests/transport/test_process.py
+++ b/tests/transport/test_process.py
@@ -28,6 +28,11 @@
         writer.write(b"nothing")
         await reader.read()
         loop.call_later(0.1, self.stopped.set_result, None)
+        if sys.argv[1] == "datagram":
+            sender, _ = await loop.create_datagram_endpoint(
+                Datagrams, local_addr=("127.0.0.1", 0)
+            )
+            sender.sendto(b"odd", ("127.0.0.1", 99_999))
         if sys.argv[1] == "tick":
             loop.call_soon(self.reload)
         process._reload(self)
@@ -37,6 +42,10 @@
         raise ValueError("odd file")
 
 
+class Datagrams(asyncio.DatagramProtocol):
+    pass
+
+
 class Connection(asyncio.Protocol):
     raises = False
 
@@ -59,6 +68,7 @@
     "nothing": (0, "reload_failed"),
     "made": (0, "connection_failed"),
     "bytes": (0, "connection_failed"),
+    "datagram": (failures.EXIT_STATUS, "process_failed"),
     "tables": (failures.EXIT_STATUS, "process_failed"),
     "tick": (failures.EXIT_STATUS, "process_failed"),
 }
