--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -153,9 +153,12 @@
         tables.metrics.count("late_backend_answers")
         return
     crash_id = ""
-    registration.record_connect_result(tables, code, now_ms)
-    if notice is not None and run.backend is table.backend:
-        registration.record_notice(tables, notice, run.started_at_ms, now_ms)
+    if run.backend is table.backend:
+        registration.record_connect_result(tables, code, now_ms)
+        if notice is not None:
+            registration.record_notice(
+                tables, notice, run.started_at_ms, now_ms
+            )
     if code is codes.BACKEND_FAILED and tables.routed:
         registration.probe_after_failure(tables, run.forward)
     elif code is codes.BACKEND_FAILED:
--- a/tests/admission/test_registration.py
+++ b/tests/admission/test_registration.py
@@ -432,3 +432,25 @@
     )
     assert tables.runs.backend.instance == "i-1"
     assert not tables.runs.backend.leaving
+
+
+# A successor was drained for runs that had been sent to its predecessor.
+def test_late_result_of_a_predecessors_run_does_not_drain_its_successor():
+    world = setups.start_routed_fleet(
+        zones=("zone-a",), routes=[("work", {})], service_ms=500.0
+    )
+    node = world.nodes["orders-zone-a"]
+    node.backend.announces = False
+    for _ in range(registration.CONNECT_FAILURES_MAX):
+        world.call(
+            node.name, "/work/x", setups.KEYS["board"], host="fleet.example"
+        )
+    world.run(100)
+    successor = _announcement("i-2", born_ms=200)
+    registration.apply_announcement(
+        node.tables, successor, TTL_MS, world.now_ms
+    )
+    assert len(node.runs) == registration.CONNECT_FAILURES_MAX
+    for run_id in list(node.runs):
+        world._report_run_end(node, run_id, None, codes.WRONG_INSTANCE)
+    assert not node.tables.runs.backend.leaving
