Refuse a route with an unknown service beside its split

A configuration whose route has a split of known services and an unknown service beside it was acknowledged, since only the split was checked. The new case of test_invalid_configuration_is_refused fails without the check.

--- a/fescueyard/platform/configurations.py
+++ b/fescueyard/platform/configurations.py
@@ -9,6 +9,7 @@
 
 from fescueyard.configuration import models
 from fescueyard.configuration import state
+from fescueyard.core import codes
 from fescueyard.core import exceptions
 
 PROFILE_NAME = "standard"
@@ -158,6 +159,7 @@
             _build_object(models.Kind.ROUTE, route.Name, _build_route(route))
         )
     state.check_references(objects)
+    _check_unused_services(configuration)
     _check_route_conflicts(configuration.Routes)
     return ParsedConfiguration(
         parse_version(configuration.Version),
@@ -207,6 +209,21 @@
     )
 
 
+def _check_unused_services(configuration):
+    """Check the services that routes name beside a split, which wins.
+
+    :raises ChangeError: when such a service is unknown.
+    """
+    known = {service.Name for service in configuration.Services}
+    for route in configuration.Routes:
+        if route.Service and route.Service not in known:
+            raise exceptions.ChangeError(
+                f"route {route.Name!r} names the missing "
+                f"service {route.Service!r}",
+                codes.BROKEN_REFERENCE,
+            )
+
+
 def _check_route_conflicts(routes):
     known_prefixes = set()
     for route in routes:
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -107,6 +107,10 @@
 
 INVALID = {
     "unknown service": lambda v: v["Routes"][1].update(Service="three"),
+    # The split wins over it, so it would go unnoticed.
+    "unknown service beside a split": lambda v: v["Routes"][0].update(
+        Service="three"
+    ),
     "unknown split": lambda v: v["Routes"][0]["TrafficSplit"][0].update(
         Service="three"
     ),
