Let callers read their responses before a planned stop ends

Callers saw a response that broke off: a node left once no call was open, while bytes of finished responses were still in its buffers. It now waits for them too, until the time of the stop is used up.

--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -418,9 +418,7 @@
         systems.tick(self._tables, now_ms)
         self._apply_effects()
         loop = asyncio.get_running_loop()
-        if systems.may_stop(self._tables, now_ms) or self._stop_timed_out(
-            now_ms
-        ):
+        if self._may_stop(now_ms):
             self._shutting_down = True
             systems.announce_leave(self._tables, now_ms)
             self._apply_effects()
@@ -430,6 +428,20 @@
             return
         self._schedule_tick(now_ms)
 
+    def _may_stop(self, now_ms):
+        """Return whether a planned stop is complete or has to end.
+
+        What callers have not read yet would be lost with the process.
+        """
+        if self._stop_timed_out(now_ms):
+            return True
+        if not systems.may_stop(self._tables, now_ms):
+            return False
+        return not (
+            self._caller_server.has_unsent_bytes()
+            or self._backend_caller_server.has_unsent_bytes()
+        )
+
     def _stop_timed_out(self, now_ms):
         """Return whether a planned stop has used up its time."""
         tables = self._tables
--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -138,6 +138,10 @@
             )
             self._transport.abort()
 
+    def has_unsent_bytes(self):
+        """Return whether a part of a response still waits for the caller."""
+        return self._transport.get_write_buffer_size() > 0
+
     def close_after_response(self):
         """Close the connection after its next responses."""
         self._closing = True
--- a/fescueyard/transport/http_server.py
+++ b/fescueyard/transport/http_server.py
@@ -55,6 +55,15 @@
         for connection in list(self._connections):
             connection.close_after_response()
 
+    def has_unsent_bytes(self):
+        """Return whether a caller has still to read a part of a response.
+
+        :returns: bool.
+        """
+        return any(
+            connection.has_unsent_bytes() for connection in self._connections
+        )
+
     def stop_accepting(self):
         """Close the listener once all connections made so far are accepted.
 
--- a/tests/node/test_app.py
+++ b/tests/node/test_app.py
@@ -110,3 +110,27 @@
 
 def test_internal_error_may_have_run():
     assert codes.INTERNAL_ERROR.outcome is codes.Outcome.MAY_HAVE_RUN
+
+
+def test_planned_stop_waits_for_responses_that_callers_still_read():
+    """Guards against a response that is cut off when the node exits."""
+
+    class Caller:
+        """A caller's connection with bytes of a response left to send."""
+
+        unsent = True
+
+        def has_unsent_bytes(self):
+            """Return whether bytes are left."""
+            return self.unsent
+
+    def act(node):
+        caller = Caller()
+        node._caller_server._connections.add(caller)
+        node._tables.draining = True
+        waits = not node._may_stop(1_000.0)
+        stops_in_time = node._may_stop(node.settings.stop_timeout_ms)
+        caller.unsent = False
+        return waits, stops_in_time, node._may_stop(1_000.0)
+
+    assert _on_node(act) == (True, True, True)
