Count a process that is not the grantor as a failed link

A node whose requests to the fleet grantor got silence and, in between, responses of members that don't lead never turned to another zone: each such response reset the count of failures. It now counts as one. Found by reading; the new test fails without the change, as the link never fails.

--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -157,10 +157,10 @@
     if message.request_id != link.request_id:
         return
     sent_at_ms = link.sent_at_ms
-    token_requests.record_response(key, link, message.is_grantor, now_ms)
     if not message.is_grantor:
-        tables.limits.control_index += 1
+        token_requests.record_refusal(tables, key, link, now_ms)
         return
+    token_requests.record_response(key, link, now_ms)
     buckets = tables.limits.node_buckets
     if message.fleet_grantor_requested:
         buckets = tables.limits.zone_buckets
--- a/fescueyard/limits/token_requests.py
+++ b/fescueyard/limits/token_requests.py
@@ -82,6 +82,22 @@
         asked_ms_ago=round(now_ms - link.sent_at_ms),
         failures=link.failures + 1,
     )
+    _count_failure(tables, key, link, now_ms)
+
+
+def record_refusal(tables, key, link, now_ms):
+    """Record that a process responded that it is not the grantor.
+
+    :param tables: the node's tables.
+    :param key: key of the link.
+    :param link: :class:`~fescueyard.limits.models.GrantorLink`.
+    :param now_ms: the present time.
+    """
+    LOG.info("not_the_grantor", grantor=key, failures=link.failures + 1)
+    _count_failure(tables, key, link, now_ms)
+
+
+def _count_failure(tables, key, link, now_ms):
     link.sent_at_ms = None
     link.request_due_ms = now_ms + REQUEST_PAUSE_MS
     link.failures += 1
@@ -94,15 +110,14 @@
         link.failed_until_ms = now_ms + FLEET_BACKOFF_MS
 
 
-def record_response(key, link, is_grantor, now_ms):
+def record_response(key, link, now_ms):
     """Record that a grantor responded.
 
     :param key: key of the link.
     :param link: :class:`~fescueyard.limits.models.GrantorLink`.
-    :param is_grantor: whether the sender is the requested grantor.
     :param now_ms: the present time.
     """
-    if link.failures and is_grantor:
+    if link.failures:
         LOG.info("grantor_back", grantor=key, failures=link.failures)
     link.sent_at_ms = None
     link.failures = 0
--- a/tests/limits/test_token_requests.py
+++ b/tests/limits/test_token_requests.py
@@ -98,3 +98,21 @@
     refused = _call_while_stopping(world, ZONE_A[0], ZONE_A[:1])
     assert set(refused) <= {codes.LEAVING.number}
     assert not refused
+
+
+def test_followers_that_respond_do_not_hide_a_silent_fleet_grantor():
+    """Guards against a link that never fails as other members respond."""
+    world = setups.start_routed_fleet(services=("orders",))
+    node = world.nodes["orders-zone-a"]
+    node.tables.configuration.control_addresses = ["one:1", "two:1", "three:1"]
+    link = models.GrantorLink()
+    now_ms = world.now_ms
+    for is_refusal in (True, False, True):
+        link.sent_at_ms = now_ms
+        now_ms += token_requests.REQUEST_TIMEOUT_MS
+        if is_refusal:
+            record = token_requests.record_refusal
+        else:
+            record = token_requests.record_failure
+        record(node.tables, models.FLEET_LINK, link, now_ms)
+    assert link.failed_until_ms > now_ms
