Judge a call that begins after the copy is too old

The test failed once beside load with 2209 in place of 2201. Traced with the times of each call: the last one began 3.65 s after the withdrawal, while the node's copy was still fresh enough, waited 1.9 s for a token and was answered after the 5 s. That is allowed. The check now judges a call that begins after them, and is as strict.

--- a/tests/faults/test_cuts.py
+++ b/tests/faults/test_cuts.py
@@ -163,9 +163,10 @@
     _wait_until(withdrawn, 10, "the key could not be withdrawn")
     withdrawn_s = time.monotonic()
     while time.monotonic() - withdrawn_s < STALENESS_S:
-        code = _call(relayed_fleet, isolated_node)
+        _call(relayed_fleet, isolated_node)
         time.sleep(0.05)
-    assert code == 2201
+    # A call that came before the copy was too old may still wait for a token.
+    assert _call(relayed_fleet, isolated_node) == 2201
     relayed_fleet.network.heal()
     _wait_until(
         lambda: _call(relayed_fleet, isolated_node) == 2006,
