Add the command explain: where a request would go now, and why

Operators had only logs of what happened. The node explains a request by the functions that decide for real ones, on copies of what they change, at GET /explain of its metrics listener; the command prints it as text or JSON. A test checks that the next 20 requests go where the explanation said, another one that nothing of the node's tables changes. For this the rate decision, the choice of the route and of the candidates became functions of their own.

--- a/fescueyard/ingress/route_parsing.py
+++ b/fescueyard/ingress/route_parsing.py
@@ -30,18 +30,25 @@
     :raises RequestError: when the request is rejected.
     """
     names = tables.interface.names
-    route_state = _find_route(tables, request, now_ms)
+    path = request.target.partition("?")[0]
+    route_state = find_route(
+        tables, request.header("host") or "", path, now_ms
+    )
     route = route_state.route
-    service = routes.choose_service(route_state)
-    if service is None:
-        raise exceptions.RequestError("", codes.NO_BACKEND)
-    profile = tables.profile_of(service)
-    identity = _identify(tables, route, profile, request, now_ms)
+    service = choose_service(route_state)
+    identity = identify(
+        tables,
+        route,
+        lambda: keys.identify_key(
+            tables, tables.profile_of(service), request, now_ms
+        ),
+        now_ms,
+    )
     requested_ms = parsing.parse_number(
         request, names.deadline_ms, route.timeout_ms
     )
     timeout_ms = min(requested_ms, route.timeout_ms)
-    priority = _priority(tables, route, identity)
+    priority = combine_priorities(tables, route, identity)
     cleaned = keys.sanitize_request(request, request.target, names.reserved())
     table = tables.calls
     table.last_call_id += 1
@@ -78,24 +85,53 @@
     )
 
 
-def _find_route(tables, request, now_ms):
+def find_route(tables, host, path, now_ms):
+    """Find the route of a request.
+
+    :param tables: the node's tables.
+    :param host: value of the ``Host`` header.
+    :param path: path of the request, without its query.
+    :param now_ms: the present time.
+    :returns: :class:`~fescueyard.routing.routes.RouteState`.
+    :raises RequestError: when there is no such route.
+    """
     state = tables.configuration.state
     if not state.objects[configuration_models.Kind.ROUTE]:
         raise exceptions.RequestError("", codes.STALE_CONFIGURATION)
-    path = request.target.partition("?")[0]
-    route_state = routes.match(
-        tables.routes, state, request.header("host") or "", path
-    )
+    route_state = routes.match(tables.routes, state, host, path)
     if route_state is None:
         _reject_unknown(tables, codes.UNKNOWN_ROUTE, now_ms)
     return route_state
 
 
-def _identify(tables, route, profile, request, now_ms):
+def choose_service(route_state):
+    """Choose the service of a request.
+
+    :param route_state: :class:`~fescueyard.routing.routes.RouteState`.
+    :returns: name of the service.
+    :raises RequestError: when no service of the route takes requests.
+    """
+    service = routes.choose_service(route_state)
+    if service is None:
+        raise exceptions.RequestError("", codes.NO_BACKEND)
+    return service
+
+
+def identify(tables, route, identify_key, now_ms):
+    """Return the identity behind a request on a route.
+
+    :param tables: the node's tables.
+    :param route: :class:`~fescueyard.configuration.models.Route`.
+    :param identify_key: function that returns the
+        :class:`~fescueyard.keys.systems.Identity` behind the request's key.
+    :param now_ms: the present time.
+    :returns: :class:`~fescueyard.keys.systems.Identity`.
+    :raises RequestError: when the route needs a key and it is not accepted.
+    """
     if route.public or not _has_customers(tables):
         return keys.ANONYMOUS
     try:
-        return keys.identify_key(tables, profile, request, now_ms)
+        return identify_key()
     except exceptions.RequestError as error:
         if error.code is not codes.KEY_REFUSED:
             raise
@@ -118,8 +154,14 @@
     raise exceptions.RequestError("", code)
 
 
-def _priority(tables, route, identity):
-    """Combine priorities: the customer's first, then the route's."""
+def combine_priorities(tables, route, identity):
+    """Combine priorities: the customer's first, then the route's.
+
+    :param tables: the node's tables.
+    :param route: :class:`~fescueyard.configuration.models.Route`.
+    :param identity: :class:`~fescueyard.keys.systems.Identity`.
+    :returns: priority of the request; the lowest is the most important.
+    """
     if route.public:
         # Backend servers use public routes for calls of work in progress,
         # which takes precedence over new work.
--- a/fescueyard/keys/systems.py
+++ b/fescueyard/keys/systems.py
@@ -79,14 +79,27 @@
         or can't be confirmed.
     """
     key = _bearer_key(request)
-    if not key:
+    # Only the hash of a key is looked up, so timing reveals nothing.
+    sha256 = hashlib.sha256(key.encode()).hexdigest() if key else ""
+    return identify_sha256(tables, profile, sha256, now_ms)
+
+
+def identify_sha256(tables, profile, sha256, now_ms):
+    """Return the identity behind the hash of a key.
+
+    :param tables: the node's tables.
+    :param profile: see :func:`identify_key`.
+    :param sha256: SHA-256 of the key, in hexadecimal; empty for no key.
+    :param now_ms: the present time.
+    :returns: :class:`Identity`.
+    :raises RequestError: see :func:`identify_key`.
+    """
+    if not sha256:
         raise exceptions.RequestError("", codes.KEY_MISSING)
     state = tables.configuration.state
     age_ms = replica.age_ms(tables.configuration, now_ms)
     if age_ms > profile.key_staleness_max_ms:
         raise exceptions.RequestError("", codes.STALE_CONFIGURATION)
-    # Only the hash of a key is looked up, so timing reveals nothing.
-    sha256 = hashlib.sha256(key.encode()).hexdigest()
     key_id = tables.configuration.keys_by_sha256.get(sha256)
     if key_id is None:
         raise exceptions.RequestError("", codes.KEY_REFUSED)
--- a/fescueyard/limits/decisions.py
+++ b/fescueyard/limits/decisions.py
@@ -19,6 +19,16 @@
     NO_TOKEN = "no_token"
 
 
+class Outlook(enum.Enum):
+    """What a call of a customer gets when it requests a token now."""
+
+    UNLIMITED = "unlimited"
+    TOKEN = "token"
+    WAIT = "wait"
+    EXCEEDED = "exceeded"
+    CUT_OFF = "cut_off"
+
+
 @dataclasses.dataclass(slots=True)
 class RateDecided:
     """Event: a call is admitted or rejected by its customer's rate limit.
--- a/fescueyard/limits/local_buckets.py
+++ b/fescueyard/limits/local_buckets.py
@@ -26,12 +26,20 @@
     return bucket.demand_per_s * max(0.0, 1 - elapsed_ms / DEMAND_WINDOW_MS)
 
 
+def has_token(bucket, now_ms):
+    """Return whether there is a token that has not expired.
+
+    :returns: bool.
+    """
+    return now_ms < bucket.expires_at_ms and bucket.tokens >= 1
+
+
 def spend(bucket, now_ms):
     """Spend one token, if there is one that has not expired.
 
     :returns: whether a token was spent.
     """
-    if now_ms >= bucket.expires_at_ms or bucket.tokens < 1:
+    if not has_token(bucket, now_ms):
         return False
     bucket.tokens -= 1
     return True
--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -45,25 +45,50 @@
     bucket = grantors.own_bucket(tables, customer, now_ms)
     tables.limits.changed.add(customer)
     local_buckets.record_demand(bucket, 1, now_ms)
-    _add_fallback_tokens(tables, customer, now_ms)
-    waiting = tables.limits.waiting.get(customer, [])
-    if not waiting and local_buckets.spend(bucket, now_ms):
+    call_wait_max_ms = _wait_max_ms(tables, call_id)
+    outlook = rate_outlook(tables, customer, call_wait_max_ms, now_ms)
+    if outlook is decisions.Outlook.TOKEN:
+        local_buckets.spend(bucket, now_ms)
         _admit(tables, call_id, customer, 0.0, now_ms)
-    elif grantors.is_cut_off(tables, customer, now_ms):
-        _reject_unknown(tables, call_id, customer, 0.0, now_ms)
-    elif bucket.is_fallback and len(waiting) >= _fallback_yield(
-        bucket, _wait_max_ms(tables, call_id)
-    ):
+    elif outlook is decisions.Outlook.CUT_OFF:
         _reject_unknown(tables, call_id, customer, 0.0, now_ms)
-    elif len(waiting) >= _waiting_max(bucket, now_ms):
+    elif outlook is decisions.Outlook.EXCEEDED:
         _reject_exceeded(tables, call_id, customer, 0.0, now_ms)
     else:
-        timeout_at_ms = now_ms + _wait_max_ms(tables, call_id)
-        waiting.append(models.WaitingCall(call_id, now_ms, timeout_at_ms))
-        tables.limits.waiting[customer] = waiting
+        waiting = tables.limits.waiting.setdefault(customer, [])
+        waiting.append(
+            models.WaitingCall(call_id, now_ms, now_ms + call_wait_max_ms)
+        )
         token_requests.send_due_requests(tables, now_ms)
 
 
+def rate_outlook(tables, customer, wait_max_ms, now_ms):
+    """Return what a call of a customer gets when it requests a token now.
+
+    :param tables: the node's tables.
+    :param customer: name of the customer.
+    :param wait_max_ms: how long the call may wait for a token, in ms.
+    :param now_ms: the present time.
+    :returns: :class:`~fescueyard.limits.decisions.Outlook`.
+    """
+    if not _is_limited(tables, customer):
+        return decisions.Outlook.UNLIMITED
+    bucket = grantors.own_bucket(tables, customer, now_ms)
+    _add_fallback_tokens(tables, customer, now_ms)
+    waiting_count = len(tables.limits.waiting.get(customer, ()))
+    if not waiting_count and local_buckets.has_token(bucket, now_ms):
+        return decisions.Outlook.TOKEN
+    if grantors.is_cut_off(tables, customer, now_ms):
+        return decisions.Outlook.CUT_OFF
+    if bucket.is_fallback and waiting_count >= _fallback_yield(
+        bucket, wait_max_ms
+    ):
+        return decisions.Outlook.CUT_OFF
+    if waiting_count >= _waiting_max(bucket, now_ms):
+        return decisions.Outlook.EXCEEDED
+    return decisions.Outlook.WAIT
+
+
 def return_token(tables, event, now_ms):
     """Return the token of a call that will not be sent.
 
@@ -235,11 +260,19 @@
 
 
 def _wait_max_ms(tables, call_id):
-    """Return how long a call may wait; a part of its latency objective."""
     call = tables.calls.rows.get(call_id)
-    if call is None or not call.objective_ms:
+    return wait_max_ms(0.0 if call is None else call.objective_ms)
+
+
+def wait_max_ms(objective_ms):
+    """Return how long a call may wait for a token.
+
+    :param objective_ms: its latency objective, in ms; 0 for none.
+    :returns: ms, a part of the objective.
+    """
+    if not objective_ms:
         return WAIT_MAX_MS
-    share_ms = call.objective_ms * WAIT_OBJECTIVE_SHARE
+    share_ms = objective_ms * WAIT_OBJECTIVE_SHARE
     return min(WAIT_MAX_MS, max(WAIT_MIN_MS, share_ms))
 
 
--- a/fescueyard/management/client.py
+++ b/fescueyard/management/client.py
@@ -137,7 +137,7 @@
                 timeout_ms = min(ATTEMPT_TIMEOUT_MS, left_ms)
                 try:
                     response = fetch(method, url, headers, body, timeout_ms)
-                    return _parse_response(response)
+                    return parse_response(response)
                 except Unreachable as error:
                     last_error = error
                 except Refused as error:
@@ -151,13 +151,18 @@
     return time.monotonic() * 1000
 
 
-def _parse_response(response):
+def parse_response(response):
+    """Parse a JSON response.
+
+    :param response: :class:`~fescueyard.core.http.HttpResponse`.
+    :returns: the decoded JSON.
+    :raises Refused: when the request was refused.
+    :raises Unreachable: when the response is not JSON.
+    """
     try:
         value = json.loads(response.body)
     except ValueError:
-        raise Unreachable(
-            "the response of the administration API is not JSON"
-        ) from None
+        raise Unreachable("the response is not JSON") from None
     if response.status >= 300:
         raise Refused(value)
     return value
--- a/fescueyard/management/main.py
+++ b/fescueyard/management/main.py
@@ -16,6 +16,7 @@
     "control_init": "run",
     "ctl": "Ctl",
     "dump": "run",
+    "explain": "run",
     "node": "run",
     "operator_token": "run",
     "platform": "Platform",
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -28,6 +28,7 @@
 from fescueyard.ingress import systems as ingress
 from fescueyard.node import backend_api
 from fescueyard.node import execution
+from fescueyard.node import explanation
 from fescueyard.node import exposition
 from fescueyard.node import metrics
 from fescueyard.node import systems
@@ -312,6 +313,8 @@
         return http.HttpResponse(200 if ready else 503, [], b"")
 
     def _metrics_response(self, request, now_ms):
+        if request.target.partition("?")[0] == explanation.PATH:
+            return explanation.respond(self._tables, request, now_ms)
         return core_exposition.metrics_response(
             exposition.samples(self._tables, now_ms)
         )
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -46,12 +46,12 @@
     :returns: its :class:`~fescueyard.routing.messages.Member`, or None.
     """
     table = tables.members
-    candidates = _candidates(tables, service, tried_node_ids, now_ms)
-    if not candidates:
+    usable = candidates(tables, service, tried_node_ids, now_ms)
+    if not usable:
         return None
     own_zone = []
     other_zones = []
-    for member in candidates:
+    for member in usable:
         if member.zone == table.own.zone:
             own_zone.append(member)
         else:
@@ -247,7 +247,15 @@
         target.reported_at_ms = now_ms
 
 
-def _candidates(tables, service, tried_node_ids, now_ms):
+def candidates(tables, service, tried_node_ids, now_ms):
+    """List the backend servers that an attempt may be sent to.
+
+    :param tables: the node's tables.
+    :param service: name of the service.
+    :param tried_node_ids: ids of nodes that this call was sent to before.
+    :param now_ms: the present time.
+    :returns: list of :class:`~fescueyard.routing.messages.Member`.
+    """
     table = tables.members
     node_ids = [
         node_id
@@ -272,6 +280,43 @@
     return [table.rows[node_id] for node_id in healthy]
 
 
+def exclusion_reason(tables, member, now_ms):
+    """Return why a backend server is not a candidate.
+
+    :param tables: the node's tables.
+    :param member: the :class:`~fescueyard.routing.messages.Member` of its
+        node, which is not among :func:`candidates`.
+    :param now_ms: the present time.
+    :returns: a word, such as ``unreachable``.
+    """
+    table = tables.members
+    if member.node_id not in table.by_service.get(member.service, ()):
+        return "leaving" if member.status == models.ALIVE else member.status
+    if zone_health.is_silent(tables, member.zone):
+        return "zone_silent"
+    target = table.targets[member.node_id]
+    if now_ms < target.refusing_until_ms:
+        return "refusing"
+    if now_ms < target.unreachable_until_ms:
+        return "unreachable"
+    if is_limited(tables, member.node_id, now_ms):
+        return "limited"
+    return "ejected"
+
+
+def load_score(tables, member, slow_start_ms, now_ms):
+    """Return the load per slot by which candidates are compared.
+
+    :param tables: the node's tables.
+    :param member: :class:`~fescueyard.routing.messages.Member` of the
+        backend server's node.
+    :param slow_start_ms: see :func:`choose`.
+    :param now_ms: the present time.
+    :returns: a number; the lowest is the best.
+    """
+    return _score(tables.members, member, slow_start_ms, now_ms)
+
+
 def _without_limited(tables, node_ids, now_ms):
     """Leave out nodes whose limit is used up, unless none would be left."""
     others = [
