--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -75,6 +75,8 @@
 
     ``network`` may be set to a network with an ``add_process`` method before
     processes are added; they then reach each other through its relays.
+    ``tree`` may be set to the working tree of another version to run, and
+    ``profile_folder`` to a folder for profiles of the nodes.
     """
 
     def __init__(self, folder):
@@ -83,6 +85,8 @@
         self.controls = []
         self.nodes = []
         self.network = None
+        self.tree = None
+        self.profile_folder = None
         self.keys = {}
         self._ports = ports.ReservedPorts()
         self.token = operators.new_token()
@@ -380,15 +384,21 @@
         subprocess.run(
             [sys.executable, "-m", "fescueyard", *arguments],
             env=self._environment,
+            cwd=self.tree,
             check=True,
             capture_output=True,
         )
 
     def _start_process(self, name, *arguments):
         log = open(self.folder / f"{name}.log", "ab")
+        profiling = []
+        if self.profile_folder is not None and arguments[0] == "node":
+            path = self.profile_folder / f"{name}.pstats"
+            profiling = ["-m", "cProfile", "-o", str(path)]
         return subprocess.Popen(
-            [sys.executable, "-m", "fescueyard", *arguments],
+            [sys.executable, *profiling, "-m", "fescueyard", *arguments],
             env=self._environment,
+            cwd=self.tree,
             stdout=log,
             stderr=log,
         )
