Start the measured fleets several times

The CPU time of equal processes differs by up to 6 % from one start to the next (1,810 and 1,890 us a request for the same code in one run), which rounds of one start can't show.

--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -52,7 +52,7 @@
             else ""
         )
         print(
-            f"| {measurement.name} | {measurement.value:.3g} "
+            f"| {measurement.name} | {measurement.value:.4g} "
             f"| {measurement.unit} | {bound} "
             f"| {verdict} | {measurement.note} |"
         )
--- a/benchmarks/request_cpu.py
+++ b/benchmarks/request_cpu.py
@@ -25,10 +25,12 @@
 BACKEND_MS = 5
 RATE_PER_S = int(os.environ.get("FESCUEYARD_BENCH_RATE", "200"))
 ROUND_REQUESTS = int(os.environ.get("FESCUEYARD_BENCH_REQUESTS", "600"))
-ROUNDS = int(os.environ.get("FESCUEYARD_BENCH_ROUNDS", "5"))
+ROUNDS = int(os.environ.get("FESCUEYARD_BENCH_ROUNDS", "2"))
+# The CPU time of equal processes differs by up to 6 % from start to start.
+STARTS = int(os.environ.get("FESCUEYARD_BENCH_STARTS", "4"))
 WARM_UP_REQUESTS = 300
-IDLE_SETTLE_S = 3
-IDLE_S = 8
+IDLE_SETTLE_S = 2
+IDLE_S = 4
 PROFILED_FUNCTIONS = 10
 # Headers that a caller's HTTP client and a proxy before it usually add.
 HEADERS = (
@@ -42,21 +44,28 @@
 
 @dataclasses.dataclass
 class _Subject:
-    """A fleet under measurement.
+    """A fleet under measurement."""
+
+    name: str
+    fleet: fleets.Fleet
+    sender: fleets.Node
+    server: fleets.Node
+    figures: "_Figures"
+
+
+@dataclasses.dataclass
+class _Figures:
+    """What was measured of one tree, over all starts of its fleet.
 
-    :param name: name in the table.
     :param sender_us: CPU time for each request at the sender's node, by
         round.
     :param server_us: the same at the server's node.
+    :param idle_ms_per_s: CPU time of an idle node, by start.
     """
 
-    name: str
-    fleet: fleets.Fleet
-    sender: fleets.Node
-    server: fleets.Node
     sender_us: list[float] = dataclasses.field(default_factory=list)
     server_us: list[float] = dataclasses.field(default_factory=list)
-    idle_ms_per_s: float = 0.0
+    idle_ms_per_s: list[float] = dataclasses.field(default_factory=list)
 
 
 def measure():
@@ -69,23 +78,25 @@
     if baseline:
         trees["baseline"] = baseline
     profile_folder = os.environ.get("FESCUEYARD_PROFILE")
-    with contextlib.ExitStack() as stack:
-        subjects = [
-            _start(stack, name, tree, profile_folder)
-            for name, tree in trees.items()
-        ]
-        _measure_idle(subjects)
-        asyncio.run(_send_round(subjects, WARM_UP_REQUESTS))
-        for _ in range(ROUNDS):
-            _measure_round(subjects)
-        if profile_folder:
-            for subject in subjects:
-                subject.fleet.stop()
-                _print_profiles(subject, pathlib.Path(profile_folder))
-        return _measurements(subjects)
-
-
-def _start(stack, name, tree, profile_folder):
+    figures = {name: _Figures() for name in trees}
+    for _ in range(1 if profile_folder else STARTS):
+        with contextlib.ExitStack() as stack:
+            subjects = [
+                _start(stack, name, tree, profile_folder, figures[name])
+                for name, tree in trees.items()
+            ]
+            _measure_idle(subjects)
+            asyncio.run(_send_round(subjects, WARM_UP_REQUESTS))
+            for _ in range(ROUNDS):
+                _measure_round(subjects)
+            if profile_folder:
+                for subject in subjects:
+                    subject.fleet.stop()
+                    _print_profiles(subject, pathlib.Path(profile_folder))
+    return _measurements(figures)
+
+
+def _start(stack, name, tree, profile_folder, figures):
     folder = stack.enter_context(tempfile.TemporaryDirectory())
     fleet = fleets.Fleet(folder)
     stack.callback(fleet.kill)
@@ -98,7 +109,7 @@
     server = fleet.add_node("zone-a", "orders", slots=200)
     fleet.configure("orders")
     fleet.await_ready("orders", *fleet.keys.values())
-    return _Subject(name, fleet, sender, server)
+    return _Subject(name, fleet, sender, server, figures)
 
 
 def _measure_idle(subjects):
@@ -107,7 +118,7 @@
     time.sleep(IDLE_S)
     for subject, start_s in zip(subjects, before_s):
         used_s = _cpu_s(subject.sender) - start_s
-        subject.idle_ms_per_s = used_s * 1000 / IDLE_S
+        subject.figures.idle_ms_per_s.append(used_s * 1000 / IDLE_S)
 
 
 def _measure_round(subjects):
@@ -118,8 +129,9 @@
     asyncio.run(_send_round(subjects, ROUND_REQUESTS))
     for subject, (sender_s, server_s) in zip(subjects, before_s):
         scale = 1e6 / ROUND_REQUESTS
-        subject.sender_us.append((_cpu_s(subject.sender) - sender_s) * scale)
-        subject.server_us.append((_cpu_s(subject.server) - server_s) * scale)
+        figures = subject.figures
+        figures.sender_us.append((_cpu_s(subject.sender) - sender_s) * scale)
+        figures.server_us.append((_cpu_s(subject.server) - server_s) * scale)
 
 
 async def _send_round(subjects, count):
@@ -157,29 +169,26 @@
     return done
 
 
-def _measurements(subjects):
+def _measurements(figures):
     measurements = []
-    for subject in subjects:
-        name = subject.name
+    for name, measured in figures.items():
         both_us = [
             sender + server
-            for sender, server in zip(subject.sender_us, subject.server_us)
+            for sender, server in zip(measured.sender_us, measured.server_us)
         ]
         measurements += [
-            _median(f"{name}: sender's node", subject.sender_us),
-            _median(f"{name}: server's node", subject.server_us),
-            _median(f"{name}: both nodes", both_us),
-            report.Measurement(
-                f"{name}: idle node", subject.idle_ms_per_s, "ms/s"
-            ),
+            _median(f"{name}: sender's node a request", measured.sender_us),
+            _median(f"{name}: server's node a request", measured.server_us),
+            _median(f"{name}: both nodes a request", both_us),
+            _median(f"{name}: idle node", measured.idle_ms_per_s, "ms/s"),
         ]
     return measurements
 
 
-def _median(name, values):
-    spread = f"rounds {', '.join(f'{value:.0f}' for value in values)}"
+def _median(name, values, unit="us"):
+    spread = f"each {', '.join(f'{value:.4g}' for value in values)}"
     return report.Measurement(
-        f"{name}, CPU a request", statistics.median(values), "us", note=spread
+        name, statistics.median(values), unit, note=spread
     )
 
 
