Compare result codes and kinds of objects by identity

Each look-up of a code in a set hashed six fields, two of them in Python, and each of the 11 look-ups of configured objects for a request hashed the name of an enumeration member in Python.

--- a/fescueyard/configuration/models.py
+++ b/fescueyard/configuration/models.py
@@ -28,7 +28,13 @@
 
 
 class Kind(enum.Enum):
-    """Kinds of configured objects."""
+    """Kinds of configured objects.
+
+    Each exists once, so the hash of the object itself serves; that of
+    ``enum.Enum`` hashes the name at each look-up.
+    """
+
+    __hash__ = object.__hash__
 
     PROFILE = "profile"
     SERVICE = "service"
--- a/fescueyard/core/codes.py
+++ b/fescueyard/core/codes.py
@@ -12,9 +12,9 @@
     MAY_HAVE_RUN = "may_have_run"
 
 
-@dataclasses.dataclass(frozen=True)
+@dataclasses.dataclass(frozen=True, eq=False)
 class ResultCode:
-    """A result code.
+    """A result code; each exists once and is compared by identity.
 
     :param number: stable number, never reused.
     :param name: short name for logs and metrics.
