--- a/fescueyard/core/dispatch.py
+++ b/fescueyard/core/dispatch.py
@@ -18,7 +18,35 @@
     stream: object
 
 
-@functools.singledispatch
+def _dispatch_by_type(function):
+    """Make a single-dispatch function that looks handlers up faster.
+
+    ``functools.singledispatch`` takes three calls of Python functions for a
+    look-up, which each message and event pays several times.
+
+    :param function: handles the types without a handler of their own.
+    :returns: a function with ``register`` as of ``functools.singledispatch``.
+    """
+    generic = functools.singledispatch(function)
+    handlers = {}
+
+    @functools.wraps(function)
+    def call(first, *others):
+        handler = handlers.get(type(first))
+        if handler is None:
+            handler = handlers[type(first)] = generic.dispatch(type(first))
+        return handler(first, *others)
+
+    def register(*arguments):
+        handlers.clear()
+        return generic.register(*arguments)
+
+    call.register = register
+    call.dispatch = generic.dispatch
+    return call
+
+
+@_dispatch_by_type
 def receive(message, tables, sender, now_ms):
     """Handle a message of another process.
 
@@ -33,7 +61,7 @@
     )
 
 
-@functools.singledispatch
+@_dispatch_by_type
 def handle(event, tables, now_ms):
     """Handle an event of this process: a timer or another package's result.
 
@@ -45,7 +73,7 @@
     raise TypeError(f"unknown event: {event!r}")
 
 
-@functools.singledispatch
+@_dispatch_by_type
 def handle_unsent(message, tables, address, now_ms):
     """Handle a message of which no byte was sent.
 
@@ -56,7 +84,7 @@
     """
 
 
-@functools.singledispatch
+@_dispatch_by_type
 def deduct_wait(message, waited_ms):
     """Deduct the time that a message waited from the time limits it carries.
 
--- a/fescueyard/node/execution.py
+++ b/fescueyard/node/execution.py
@@ -50,7 +50,7 @@
         """
         for effect in pending:
             try:
-                _execute(effect, self)
+                _executor_of(type(effect))(effect, self)
             except Exception as error:
                 failures.contain(
                     LOG, "effect_failed", error, effect=type(effect).__name__
@@ -134,6 +134,12 @@
         executor.client.cancel(future)
 
 
+@functools.cache
+def _executor_of(effect_type):
+    """Return the function that executes effects of a type."""
+    return _execute.dispatch(effect_type)
+
+
 @functools.singledispatch
 def _handle_failure(effect, executor):
     """Report an effect that could not be executed to what waits for it."""
