--- a/fescueyard/transport/handshake.py
+++ b/fescueyard/transport/handshake.py
@@ -98,15 +98,24 @@
     return FrameKeys(dialler, acceptor)
 
 
-def frame_mac(key, sequence, payload):
-    """Compute the MAC of one frame.
+def frame_hash(key):
+    """Prepare the keyed hash of a stream's frames in one direction.
 
     :param key: the sender's frame key.
+    :returns: hash object without data, copied for each frame.
+    """
+    return hashlib.blake2b(digest_size=16, key=key)
+
+
+def frame_mac(keyed_hash, sequence, payload):
+    """Compute the MAC of one frame.
+
+    :param keyed_hash: what :func:`frame_hash` returned.
     :param sequence: number of the frame in its direction, from 0.
     :param payload: the frame's bytes.
     :returns: 16 bytes.
     """
-    mac = hashlib.blake2b(digest_size=16, key=key)
+    mac = keyed_hash.copy()
     mac.update(sequence.to_bytes(8, "big"))
     mac.update(payload)
     return mac.digest()
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -29,9 +29,18 @@
     """Splits received bytes into frames."""
 
     def __init__(self):
-        self._buffer = bytearray()
+        self._buffer = b""
+        self._start = 0
 
     def feed(self, data):
+        if not self._buffer:
+            # A frame usually arrives in one piece, which needs no copy.
+            self._buffer = data
+            return
+        if not isinstance(self._buffer, bytearray):
+            self._buffer = bytearray(self._buffer)
+        del self._buffer[: self._start]
+        self._start = 0
         self._buffer += data
 
     def pop_frame(self, overhead, limit):
@@ -42,18 +51,22 @@
         :returns: the frame's bytes without the length, or None.
         :raises StreamError: when the frame is larger than the limit.
         """
-        if len(self._buffer) < LENGTH.size:
+        start = self._start + LENGTH.size
+        if len(self._buffer) < start:
             return None
-        (length,) = LENGTH.unpack_from(self._buffer)
+        (length,) = LENGTH.unpack_from(self._buffer, self._start)
         if length > limit:
             raise exceptions.StreamError(
                 f"frame of {length} bytes is too large"
             )
-        frame_end = LENGTH.size + overhead + length
+        frame_end = start + overhead + length
         if len(self._buffer) < frame_end:
             return None
-        frame = bytes(memoryview(self._buffer)[LENGTH.size : frame_end])
-        del self._buffer[:frame_end]
+        frame = bytes(memoryview(self._buffer)[start:frame_end])
+        self._start = frame_end
+        if frame_end == len(self._buffer):
+            self._buffer = b""
+            self._start = 0
         return frame
 
 
@@ -77,8 +90,8 @@
         self._nonce = handshake.new_nonce()
         self._sequence_in = 0
         self._sequence_out = 0
-        self._key_in = None
-        self._key_out = None
+        self._hash_in = None
+        self._hash_out = None
         self._timer = None
 
     def connection_made(self, transport):
@@ -122,7 +135,7 @@
         :param message: a registered message.
         """
         payload = wire.encode(message)
-        mac = handshake.frame_mac(self._key_out, self._sequence_out, payload)
+        mac = handshake.frame_mac(self._hash_out, self._sequence_out, payload)
         self._sequence_out += 1
         self._transport.write(LENGTH.pack(len(payload)) + mac + payload)
         self._pool.message_sent(self, message, len(payload))
@@ -163,7 +176,7 @@
 
     def _handle_message(self, frame):
         payload = frame[MAC_BYTES:]
-        mac = handshake.frame_mac(self._key_in, self._sequence_in, payload)
+        mac = handshake.frame_mac(self._hash_in, self._sequence_in, payload)
         if not hmac.compare_digest(mac, frame[:MAC_BYTES]):
             raise exceptions.StreamError("frame fails authentication")
         self._sequence_in += 1
@@ -220,8 +233,8 @@
         keys = handshake.frame_keys(
             pool.secret, self._hello, response.process_id, response.nonce
         )
-        self._key_in = keys.acceptor
-        self._key_out = keys.dialler
+        self._hash_in = handshake.frame_hash(keys.acceptor)
+        self._hash_out = handshake.frame_hash(keys.dialler)
         self._become_ready(response.process_id)
 
     def _complete_accept(self, message):
@@ -238,8 +251,8 @@
         keys = handshake.frame_keys(
             pool.secret, hello, pool.process_id, self._nonce
         )
-        self._key_in = keys.dialler
-        self._key_out = keys.acceptor
+        self._hash_in = handshake.frame_hash(keys.dialler)
+        self._hash_out = handshake.frame_hash(keys.acceptor)
         self._become_ready(hello.process_id)
 
     def _become_ready(self, peer_id):
