Fetch tables and configurations inside the zone

Cause: at a start of all processes each one asked control processes of any zone for the member table each 500 ms, and nodes without a configuration asked another source each 100 ms. 3.56 MB of payload crossed between zones in the 15 s around a start of 90 nodes and three control processes.

Change: where link_mbps (platform: LinkMbps in [Self.Limits]) is 100 or less, processes ask the relays of their own zone, two per zone, control processes first. Only relays ask other zones. A node that starts asks a seed for the processes of its zone first. Nodes without a configuration ask the next source only after an empty response or 400 ms. A repeated request on the same stream gets no second large response. Tables and configurations that leave the zone are compressed for requesters that say that they read that. Without the setting requests are as before.

--- a/fescueyard/conf/settings.py
+++ b/fescueyard/conf/settings.py
@@ -21,6 +21,7 @@
     str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 ]
 ByteCount = typing.Annotated[int, pydantic.Field(ge=1024, le=16 * 1024**2)]
+LinkRate = typing.Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
 PositiveMs = typing.Annotated[int, pydantic.Field(ge=1)]
 LogLevel = typing.Literal["debug", "info", "warning", "error"]
 
@@ -46,6 +47,8 @@
     :param log_level: lowest severity that is logged.
     :param metrics_address: ``host:port`` that serves the metrics as text;
         empty to disable.
+    :param link_mbps: rate of the VM's link, in Mbit/s; none if it isn't
+        limited. At 100 or less, bytes between zones are saved.
     """
 
     __pydantic_config__ = _FORBID_EXTRA
@@ -62,6 +65,7 @@
     dump_folder: str = ""
     log_level: LogLevel = defaults.LOG_LEVEL
     metrics_address: AddressText | None = None
+    link_mbps: LinkRate | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fescueyard/configuration/messages.py
+++ b/fescueyard/configuration/messages.py
@@ -31,6 +31,8 @@
     :param cluster_id: cluster of the requester; empty before its first
         response.
     :param version: version that the requester has.
+    :param accepts_packed: whether the requester reads packed objects, and a
+        response of a process that has nothing to send.
     """
 
     request_id: int = dataclasses.field(
@@ -38,6 +40,14 @@
     )
     cluster_id: str
     version: int
+    accepts_packed: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class ObjectBatch:
+    """Objects that are compressed together."""
+
+    objects: list[ObjectVersion]
 
 
 @wire.message(11)
@@ -51,9 +61,12 @@
     :param complete: whether the objects are the complete configuration rather
         than a delta.
     :param age_ms: age of the responder's copy when it sent the response, that
-        is, how long ago it knew that no newer version was in force.
+        is, how long ago it knew that no newer version was in force; negative
+        when the responder has nothing to send.
     :param objects: changed objects, or all when ``complete``.
     :param control_addresses: ``host:port`` of the control VMs.
+    :param packed: :class:`ObjectBatch` in place of ``objects``, compressed;
+        empty for none.
     """
 
     request_id: int = dataclasses.field(
@@ -65,3 +78,4 @@
     age_ms: float
     objects: list[ObjectVersion]
     control_addresses: list[str]
+    packed: bytes = b""
--- a/fescueyard/configuration/replica.py
+++ b/fescueyard/configuration/replica.py
@@ -41,11 +41,12 @@
     keys_by_sha256: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
-def new_request(table, now_ms):
+def new_request(table, now_ms, accepts_packed=False):
     """Create the next request and record when it is sent.
 
     :param table: :class:`ReplicaTable`.
     :param now_ms: the present time.
+    :param accepts_packed: whether packed objects are requested.
     :returns: :class:`~fescueyard.configuration.messages.ConfigurationRequest`.
     """
     table.last_request_id += 1
@@ -54,7 +55,10 @@
     if len(table.request_sent_at_ms) > PENDING_REQUESTS_MAX:
         table.request_sent_at_ms.pop(min(table.request_sent_at_ms))
     return messages.ConfigurationRequest(
-        request_id, table.state.cluster_id, table.state.version
+        request_id,
+        table.state.cluster_id,
+        table.state.version,
+        accepts_packed,
     )
 
 
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -25,6 +25,7 @@
 from fescueyard.core import operators
 from fescueyard.routing import membership
 from fescueyard.routing import traffic
+from fescueyard.routing import zone_relays
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
 from fescueyard.transport import streams
@@ -81,6 +82,9 @@
             ),
             settings.voters_max,
         )
+        self._tables.members.saves_cross_zone = zone_relays.is_scarce(
+            settings.link_mbps
+        )
         secret = conf_settings.read_secret(
             settings.cluster_secret,
             settings.cluster_secret_file,
@@ -145,6 +149,9 @@
         self.settings = settings
         self._tables.control_addresses = settings.control_addresses
         self._tables.members.seeds = list(settings.control_addresses)
+        self._tables.members.saves_cross_zone = zone_relays.is_scarce(
+            settings.link_mbps
+        )
         LOG.info("reloaded", control_addresses=settings.control_addresses)
 
     def dump(self):
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -9,6 +9,7 @@
 
 from fescueyard.configuration import messages as configuration_messages
 from fescueyard.configuration import replica
+from fescueyard.configuration import serving
 from fescueyard.configuration import state as states
 from fescueyard.consensus import dispatch as consensus_dispatch
 from fescueyard.consensus import lease
@@ -34,6 +35,7 @@
 from fescueyard.routing import membership
 from fescueyard.routing import messages as routing_messages
 from fescueyard.routing import table_sync
+from fescueyard.routing import zone_relays
 
 LOG = logs.ComponentLogger("control")
 
@@ -369,6 +371,14 @@
         state_age_ms(tables, now_ms),
         control_addresses(tables),
     )
+    response = serving.compact(
+        tables.traffic.large_responses,
+        response,
+        message,
+        dispatch.Sender(peer_id, stream),
+        zone_relays.in_own_zone(tables.members, peer_id),
+        now_ms,
+    )
     if response is not None:
         tables.effects.append(effects.SendReply(stream, response))
 
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -36,6 +36,7 @@
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import traffic
+from fescueyard.routing import zone_relays
 from fescueyard.transport import backend_client
 from fescueyard.transport import datagrams
 from fescueyard.transport import http_server
@@ -128,6 +129,9 @@
         tables = self._tables
         tables.routed = settings.caller_interface == "routes"
         tables.members.decays_to_average = tables.routed
+        tables.members.saves_cross_zone = zone_relays.is_scarce(
+            settings.link_mbps
+        )
         tables.interface = interface or ingress_interface.Interface()
         tables.service = settings.service
         tables.leave_notice_ms = settings.leave_notice_ms
@@ -230,6 +234,9 @@
         tables.service = settings.service
         tables.seeds = settings.control_addresses
         tables.members.seeds = list(settings.control_addresses)
+        tables.members.saves_cross_zone = zone_relays.is_scarce(
+            settings.link_mbps
+        )
         LOG.info(
             "reloaded",
             service=settings.service,
--- a/fescueyard/node/pull.py
+++ b/fescueyard/node/pull.py
@@ -4,14 +4,23 @@
 state is out of date. A response therefore counts only if it makes the node's
 copy current. Otherwise the node asks another source at once and leaves this
 one out for a while.
+
+Where bytes between zones are expensive, a node without a configuration asks
+the control process of its zone, or else the relays of its zone
+(:mod:`fescueyard.routing.zone_relays`); only those fetch it from another zone.
+It asks the next source only once the last one has said that it has nothing,
+or has been silent for as long as a large response may take.
 """
 
 from fescueyard.configuration import messages
 from fescueyard.configuration import replica
+from fescueyard.configuration import serving
 from fescueyard.core import dispatch
 from fescueyard.core import effects
 from fescueyard.core import logs
 from fescueyard.routing import membership
+from fescueyard.routing import models as routing_models
+from fescueyard.routing import zone_relays
 
 LOG = logs.ComponentLogger("node")
 
@@ -19,6 +28,12 @@
 PULL_JITTER_MS = 200
 # Shorter, as a process without any configuration can't serve requests.
 FIRST_PULL_INTERVAL_MS = 100
+# Where bytes between zones are expensive: time for a complete configuration to
+# arrive, and time in which a node that starts gets to know its zone.
+FIRST_RESPONSE_MS = 400
+ZONE_KNOWN_MS = 300
+# Requests to the own zone before the others are asked as well.
+OWN_ZONE_REQUESTS = 8
 # Interval while the last response did not make the copy current, or is due.
 RETRY_INTERVAL_MS = 250
 # Requests at that interval; longer outages are waited out more slowly.
@@ -39,7 +54,7 @@
     :param now_ms: the present time.
     """
     pull = tables.pull
-    if now_ms < pull.pull_due_ms:
+    if now_ms < pull.pull_due_ms or _waits_for_zone(tables, now_ms):
         return
     if pull.open_request_id is not None:
         _record_failure(tables, "silent", now_ms)
@@ -51,6 +66,10 @@
     message: messages.ConfigurationResponse, tables, sender, now_ms
 ):
     before = tables.configuration.state.version
+    if serving.is_empty(message):
+        _record_empty(tables, message, now_ms)
+        return
+    message = serving.unpack(message)
     if not replica.install(tables.configuration, message):
         LOG.info(
             "configuration_refused",
@@ -89,10 +108,32 @@
         replica.age_ms(table, now_ms),
         table.control_addresses,
     )
+    response = serving.compact(
+        tables.traffic.large_responses,
+        response,
+        message,
+        sender,
+        zone_relays.in_own_zone(tables.members, sender.peer_id),
+        now_ms,
+    )
     if response is not None:
         tables.effects.append(effects.SendReply(sender.stream, response))
 
 
+def _waits_for_zone(tables, now_ms):
+    """Return whether a node that starts may not know its zone yet.
+
+    Until it knows the others of its zone, it may take itself for a relay.
+    """
+    members = tables.members
+    if not members.saves_cross_zone or members.started_at_ms is None:
+        return False
+    for node_id in zone_relays.relays_of(members, members.own.zone):
+        if members.rows[node_id].role == routing_models.CONTROL_ROLE:
+            return False
+    return now_ms - members.started_at_ms < ZONE_KNOWN_MS
+
+
 def _record_success(tables, now_ms):
     pull = tables.pull
     if pull.failures:
@@ -107,6 +148,21 @@
     pull.pull_due_ms = pull.regular_due_ms
 
 
+def _record_empty(tables, message, now_ms):
+    """Ask again soon: the source of the open request has nothing yet."""
+    pull = tables.pull
+    if message.request_id != pull.open_request_id:
+        return
+    if tables.configuration.state.cluster_id:
+        _record_failure(tables, "empty", now_ms)
+        if pull.failures == 1:
+            _send_request(tables, now_ms)
+        return
+    pull.open_request_id = None
+    pull.failures += 1
+    pull.pull_due_ms = now_ms + FIRST_PULL_INTERVAL_MS
+
+
 def _record_failure(tables, reason, now_ms):
     """Leave out the source of the open request for a while."""
     pull = tables.pull
@@ -133,15 +189,20 @@
     address = _choose_source(tables, now_ms)
     if address is None:
         return
-    request = replica.new_request(tables.configuration, now_ms)
+    request = replica.new_request(
+        tables.configuration, now_ms, tables.members.saves_cross_zone
+    )
     pull.open_request_id = request.request_id
     pull.open_address = address
     tables.effects.append(effects.SendMessage(address, request))
 
 
 def _retry_interval_ms(tables):
-    if tables.routed and not tables.configuration.state.cluster_id:
-        return FIRST_PULL_INTERVAL_MS
+    if not tables.configuration.state.cluster_id:
+        if tables.members.saves_cross_zone:
+            return FIRST_RESPONSE_MS
+        if tables.routed:
+            return FIRST_PULL_INTERVAL_MS
     if tables.pull.failures < FAST_RETRIES:
         return RETRY_INTERVAL_MS
     return PULL_INTERVAL_MS + PULL_JITTER_MS
@@ -157,6 +218,9 @@
     for address in list(pull.paused_until_ms):
         if now_ms >= pull.paused_until_ms[address]:
             del pull.paused_until_ms[address]
+    address = _choose_in_zone(tables)
+    if address is not None:
+        return address
     round_number = pull.failures % PEER_PULL_INTERVAL_REQUESTS
     if round_number == PEER_PULL_INTERVAL_REQUESTS - 1:
         address = _choose_peer(tables)
@@ -171,6 +235,31 @@
     return _nearest_address(tables, usable)
 
 
+def _choose_in_zone(tables):
+    """Choose the source in the own zone of a node without a configuration.
+
+    :returns: ``host:port``, or None when others are to be asked.
+    """
+    pull = tables.pull
+    members = tables.members
+    if not members.saves_cross_zone or tables.configuration.state.cluster_id:
+        return None
+    if pull.failures >= OWN_ZONE_REQUESTS:
+        return None
+    relays = zone_relays.relays_of(members, members.own.zone)
+    usable = [
+        members.rows[node_id]
+        for node_id in relays
+        if members.rows[node_id].address not in pull.paused_until_ms
+    ]
+    for member in usable:
+        if member.role == routing_models.CONTROL_ROLE:
+            return member.address
+    if members.own.node_id in relays or not usable:
+        return None
+    return tables.random.choice(usable).address
+
+
 def _choose_peer(tables):
     """Choose a node, in another zone if there is one, or return None."""
     members = tables.members
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -29,6 +29,17 @@
 _Count = pydantic.NonNegativeInt
 
 
+@dataclasses.dataclass(frozen=True)
+class _LimitsTable:
+    """Limits of the VM; absent or 0 where it has none."""
+
+    __pydantic_config__ = _IGNORE_EXTRA
+
+    LinkMbps: typing.Annotated[
+        float, pydantic.Field(ge=0, allow_inf_nan=False)
+    ] = 0.0
+
+
 @dataclasses.dataclass(frozen=True)
 class _SelfTable:
     """Identity of the process and its VM."""
@@ -45,6 +56,7 @@
     # Address of the backend server on this VM; empty on control VMs.
     AppAddr: str = ""
     Service: str = ""
+    Limits: _LimitsTable = _LimitsTable()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -235,6 +247,7 @@
         "address": f"{parsed.Self.Ip}:{stream_port}",
         "control_addresses": control_addresses,
         "metrics_address": f"{parsed.Self.Ip}:{metrics_port}",
+        "link_mbps": parsed.Self.Limits.LinkMbps or None,
     }
 
 
--- a/fescueyard/routing/messages.py
+++ b/fescueyard/routing/messages.py
@@ -92,12 +92,17 @@
     :param responder_id: process that ``known_version`` is of; empty for none.
     :param known_version: version of the receiver's table up to which the
         requester has its entries.
+    :param zone: zone of which the entries are requested, besides control
+        processes; empty for all.
+    :param accepts_packed: whether the requester reads packed entries.
     """
 
     digest: int
     members: list[Member]
     responder_id: str = ""
     known_version: int = 0
+    zone: str = ""
+    accepts_packed: bool = False
 
 
 @wire.message(44)
@@ -107,12 +112,23 @@
 
     :param members: the entries; empty when the digests agree.
     :param responder_id: the process that responds.
-    :param version: version of its table; 0 when the digests agree.
+    :param version: version of its table; 0 when the digests agree, or when
+        the entries are of one zone.
+    :param packed: :class:`MemberBatch` in place of ``members``, compressed;
+        empty for none.
     """
 
     members: list[Member]
     responder_id: str = ""
     version: int = 0
+    packed: bytes = b""
+
+
+@dataclasses.dataclass(slots=True)
+class MemberBatch:
+    """Entries that are compressed together."""
+
+    members: list[Member]
 
 
 @wire.message(45)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -188,6 +188,13 @@
         priority.
     :param decays_to_average: an old reported load decays towards the
         service's average utilization instead of zero.
+    :param saves_cross_zone: bytes between zones are expensive: processes of
+        other zones are told of changes through relays
+        (:mod:`fescueyard.routing.zone_relays`).
+    :param relays_by_zone: ids of the relays of each zone.
+    :param relays_version: ``version`` that they were derived from.
+    :param joined: whether a process of the own zone has been known; used
+        with ``saves_cross_zone``.
     :param nodes_alive: nodes that are alive or suspect, this one included.
     :param nodes_seen_max: highest number of nodes, this one included, ever
         seen alive at the same time; budgets divided among nodes use it, so
@@ -231,6 +238,12 @@
     decays_to_average: bool = dataclasses.field(
         default=False, metadata=dumps.written_as("keeps_use")
     )
+    saves_cross_zone: bool = False
+    relays_by_zone: dict[str, list[str]] = dataclasses.field(
+        default_factory=dict
+    )
+    relays_version: int = -1
+    joined: bool = False
     nodes_alive: int = 0
     nodes_seen_max: int = 1
     digest: int = 0
--- a/fescueyard/routing/table_sync.py
+++ b/fescueyard/routing/table_sync.py
@@ -4,22 +4,37 @@
 process therefore asks another one for what changed in its table since the last
 answer, often while it starts and rarely afterwards. Control processes always
 ask each other often. The answer is empty when the digests of both agree.
+
+Where bytes between zones are expensive, a process asks processes of its own
+zone. Only the relays of a zone (:mod:`fescueyard.routing.zone_relays`) compare
+their table with those of other zones. A process that knows no other one of its
+zone asks a seed for the processes of its zone first.
 """
 
 from fescueyard.core import dispatch
 from fescueyard.core import effects
+from fescueyard.core import packing
 from fescueyard.routing import membership
 from fescueyard.routing import messages
 from fescueyard.routing import models
+from fescueyard.routing import zone_relays
 
 SYNC_INTERVAL_MS = 10_000
 SYNC_INTERVAL_FAST_MS = 500
+# Interval at which relays compare their table with those of other zones. It
+# bounds the delay of an update whose datagrams were all lost.
+RELAY_SYNC_INTERVAL_MS = 1_000
+# Time in which a process that knows no other one of its zone asks for those;
+# afterwards it acts as the only one.
+JOIN_MS = 1_000
 # Chance that a seed is asked instead of any member. Seeds remain among the
 # candidates: after a network partition has healed, only they reconnect sides
 # that consider each other dead.
 SEED_CHANCE = 0.5
 # Addresses for which the version last received is remembered.
 KNOWN_TABLES_MAX = 16
+# Entries are compressed only in such a number: an entry takes some 100 bytes.
+PACKED_MEMBERS_MIN = 4
 
 
 def tick(tables, now_ms):
@@ -31,6 +46,9 @@
     table = tables.members
     if now_ms < table.sync_due_ms:
         return
+    if table.saves_cross_zone:
+        _ask_by_zone(tables, now_ms)
+        return
     others = membership.alive_others(table)
     # Processes that start ask the control processes, which therefore keep
     # their tables alike.
@@ -47,15 +65,89 @@
     if use_seed and table.seeds:
         choices = table.seeds
     if choices:
-        address = tables.random.choice(choices)
-        request = _new_request(table, address)
-        tables.effects.append(effects.SendMessage(address, request))
+        _ask(tables, tables.random.choice(choices))
+
+
+def _ask(tables, address, zone=""):
+    request = _new_request(tables.members, address, zone)
+    tables.effects.append(effects.SendMessage(address, request))
+
+
+def _ask_by_zone(tables, now_ms):
+    table = tables.members
+    starting = membership.is_starting(table, now_ms)
+    if not table.joined and _may_join(table, now_ms):
+        table.sync_due_ms = now_ms + SYNC_INTERVAL_FAST_MS
+        if table.seeds:
+            address = tables.random.choice(table.seeds)
+            _ask(tables, address, table.own.zone)
+        return
+    if zone_relays.is_relay(table):
+        interval_ms = RELAY_SYNC_INTERVAL_MS
+        addresses = _addresses_for_relay(tables)
+    else:
+        interval_ms = SYNC_INTERVAL_MS
+        addresses = _addresses_in_zone(tables, starting)
+    if starting:
+        interval_ms = SYNC_INTERVAL_FAST_MS
+    table.sync_due_ms = now_ms + interval_ms
+    for address in addresses:
+        _ask(tables, address)
 
 
-def _new_request(table, address):
+def _may_join(table, now_ms):
+    """Return whether a process still looks for others of its zone."""
+    if table.own.role == models.CONTROL_ROLE:
+        return False
+    return table.started_at_ms is None or (
+        now_ms - table.started_at_ms < JOIN_MS
+    )
+
+
+def _addresses_for_relay(tables):
+    """Choose a relay of each zone, and a seed that is no member at times."""
+    table = tables.members
+    choices = [
+        zone_relays.relays_of(table, zone)
+        for zone in zone_relays.other_zones(table)
+    ]
+    choices.append(
+        [
+            node_id
+            for node_id in zone_relays.relays_of(table, table.own.zone)
+            if node_id != table.own.node_id
+        ]
+    )
+    addresses = [
+        table.rows[tables.random.choice(node_ids)].address
+        for node_ids in choices
+        if node_ids
+    ]
+    unknown = [seed for seed in table.seeds if seed not in table.by_address]
+    if unknown and (not addresses or tables.random.random() < SEED_CHANCE):
+        addresses.append(tables.random.choice(unknown))
+    return addresses
+
+
+def _addresses_in_zone(tables, starting):
+    table = tables.members
+    choices = zone_relays.own_zone_others(table)
+    if starting:
+        choices = zone_relays.relays_of(table, table.own.zone)
+    if not choices:
+        return []
+    return [table.rows[tables.random.choice(choices)].address]
+
+
+def _new_request(table, address, zone):
     known = table.known_tables.get(address, models.KnownTable("", 0))
     return messages.TableRequest(
-        table.digest, [table.own], known.process_id, known.version
+        table.digest,
+        [table.own],
+        known.process_id,
+        known.version,
+        zone,
+        table.saves_cross_zone,
     )
 
 
@@ -68,23 +160,60 @@
     own_id = table.own.node_id
     response = messages.TableResponse([], own_id, 0)
     if message.digest != table.digest:
-        is_known = message.responder_id == own_id
-        since_version = message.known_version if is_known else 0
-        response.members = [
-            member
-            for node_id, member in table.rows.items()
-            if table.changed_versions.get(node_id, 0) >= since_version
-        ]
-        response.version = table.version
+        if message.zone:
+            response.members = _members_for_zone(table, message.zone)
+        else:
+            response.members = _members_since(table, message)
+            response.version = table.version
+    if message.accepts_packed:
+        _pack(table, sender, response)
     tables.effects.append(effects.SendReply(sender.stream, response))
 
 
+def _members_since(table, message):
+    is_known = message.responder_id == table.own.node_id
+    since_version = message.known_version if is_known else 0
+    return [
+        member
+        for node_id, member in table.rows.items()
+        if table.changed_versions.get(node_id, 0) >= since_version
+    ]
+
+
+def _members_for_zone(table, zone):
+    """List what a process that starts needs to find its own zone."""
+    return [
+        member
+        for member in table.rows.values()
+        if member.status in (models.ALIVE, models.SUSPECT)
+        and (member.zone == zone or member.role == models.CONTROL_ROLE)
+    ]
+
+
+def _pack(table, sender, response):
+    """Compress the entries when they leave the zone."""
+    if len(response.members) < PACKED_MEMBERS_MIN:
+        return
+    if zone_relays.in_own_zone(table, sender.peer_id):
+        return
+    response.packed = packing.pack(messages.MemberBatch(response.members))
+    response.members = []
+
+
 @dispatch.receive.register
 def _receive_table_response(
     message: messages.TableResponse, tables, sender, now_ms
 ):
-    membership.merge(tables, message.members, now_ms)
+    members = message.members
+    if message.packed:
+        batch = packing.unpack(messages.MemberBatch, message.packed)
+        members = members + batch.members
+    membership.merge(tables, members, now_ms)
     table = tables.members
+    if table.saves_cross_zone and not table.joined:
+        table.joined = bool(zone_relays.own_zone_others(table))
+        if table.joined:
+            table.sync_due_ms = now_ms
     responder = table.rows.get(message.responder_id)
     if responder is None or not message.version:
         return
--- a/fescueyard/routing/traffic.py
+++ b/fescueyard/routing/traffic.py
@@ -26,11 +26,20 @@
 
 @dataclasses.dataclass
 class TrafficTable:
-    """What a process has sent, by class of message and scope."""
+    """What a process has sent, by class of message and scope.
+
+    :param rows: counters.
+    :param large_responses: large configuration responses that were sent a
+        short time ago, by id of the requester; see
+        :mod:`fescueyard.configuration.serving`.
+    """
 
     rows: dict[tuple[str, str], Sent] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(Sent)
     )
+    large_responses: dict[str, object] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 def record_sent(tables, peer_id, message, payload_bytes):
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -88,6 +88,10 @@
     :param seed: seed of all random choices.
     :param policy: what members decide without an operator.
     :param voters_max: maximum number of members with a vote.
+    :param zones: zone of each member; None for the same one.
+
+    Tests set ``on_sent``, which is called with sender, recipient and message
+    of what members send to each other besides the consensus protocol.
     """
 
     def __init__(
@@ -96,7 +100,10 @@
         seed,
         policy=control_tables.ControlPolicy(),
         voters_max=consensus_models.VOTERS_MAX,
+        zones=None,
     ):
+        self.on_sent = None
+        self._zones = zones or {}
         self._policy = policy
         self._voters_max = voters_max
         self._addresses = {}
@@ -115,7 +122,7 @@
         self._in_flight = []
         self._exchange_ids = itertools.count(1)
         ids = [f"m{number}" for number in range(count)]
-        members = [_member(member_id, voter=True) for member_id in ids]
+        members = [self._member(member_id, voter=True) for member_id in ids]
         state = states.dump_state(states.ConfigurationState("c-test"))
         for member_id in ids:
             snapshot = consensus_models.Snapshot(1, 1, members, state)
@@ -129,7 +136,7 @@
         others = [f"{other}:1" for other in self.disks if other != member_id]
         self.tables[member_id] = control_tables.new_tables(
             stored,
-            _member(member_id, voter=False),
+            self._member(member_id, voter=False),
             "region",
             others,
             self.random.getrandbits(32),
@@ -155,6 +162,10 @@
         self.disks[member_id] = FakeDisk(member_id, empty)
         self.start(member_id)
 
+    def _member(self, member_id, voter):
+        zone = self._zones.get(member_id, "zone")
+        return _member(member_id, voter, zone)
+
     def run(self, duration_ms):
         """Advance the simulated time."""
         end_ms = self.now_ms + duration_ms
@@ -268,6 +279,8 @@
         for effect in pending:
             target = _target(effect)
             if target in self.disks:
+                if self.on_sent is not None:
+                    self.on_sent(member_id, target, effect.message)
                 self._send(member_id, target, effect.message)
             elif self.on_external_effect is not None:
                 self.on_external_effect(member_id, effect)
@@ -346,9 +359,9 @@
     return None
 
 
-def _member(member_id, voter):
+def _member(member_id, voter, zone="zone"):
     return consensus_models.Member(
-        member_id, f"{member_id}:1", f"{member_id}:2", "zone", voter
+        member_id, f"{member_id}:1", f"{member_id}:2", zone, voter
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -64,6 +64,17 @@
     assert values.stop_timeout_ms == 6_000
 
 
+@pytest.mark.parametrize(
+    "line, link_mbps",
+    [("", None), ("LinkMbps = 0", None), ("LinkMbps = 50", 50.0)],
+)
+def test_rate_of_the_link_is_read(write, line, link_mbps):
+    """Guards against saving bytes where no link rate is set."""
+    write(TEXT.replace("[Network]", f"[Self.Limits]\n{line}\n[Network]"))
+    assert settings.read_node().link_mbps == link_mbps
+    assert settings.read_control().link_mbps == link_mbps
+
+
 def test_control_bootstraps_at_the_first_start_only(write):
     write(TEXT)
     values = settings.read_control()
--- a/tests/setups.py
+++ b/tests/setups.py
@@ -25,6 +25,14 @@
     )
 
 
+def put_customer(world, name):
+    """Create a firm with one customer and its key."""
+    put_object(world, "firm", name)
+    put_object(world, "customer", name, firm=name, rate_per_s=100.0, burst=50)
+    sha256 = hashlib.sha256(name.encode()).hexdigest()
+    put_object(world, "key", f"{name}-key", customer=name, sha256=sha256)
+
+
 def withdraw_key(world, customer):
     """Withdraw the key that :func:`grant_key` granted a customer."""
     world.configure("key", f"{customer}-key", b"")
--- a/tests/world.py
+++ b/tests/world.py
@@ -31,6 +31,7 @@
 from fescueyard.node import tables as node_tables
 from fescueyard.routing import balancer
 from fescueyard.routing import models as routing_models
+from fescueyard.routing import traffic
 from tests.control import harness
 
 CONNECT_TIMEOUT_MS = 1_000
@@ -153,13 +154,27 @@
     :param seed: seed of all random draws.
     :param one_way_ms: one-way latency between zones.
     :param controls: number of control members.
+    :param control_zones: zones of the control members; None when their
+        member entries name none of the nodes' zones.
+    :param saves_cross_zone: whether bytes between zones are expensive.
 
-    Tests set ``datagram_loss``, the share of datagrams that are lost, and
+    ``sent`` counts messages and payload bytes by sender, message class and
+    scope, without what control members send for the consensus protocol. Tests
+    set ``datagram_loss``, the share of datagrams that are lost, and
     ``partitioned_pairs``, pairs of names of processes that can't reach each
     other.
     """
 
-    def __init__(self, seed=1, one_way_ms=0.5, controls=1):
+    def __init__(
+        self,
+        seed=1,
+        one_way_ms=0.5,
+        controls=1,
+        control_zones=None,
+        saves_cross_zone=False,
+    ):
+        self.saves_cross_zone = saves_cross_zone
+        self.sent = collections.defaultdict(traffic.Sent)
         self.random = random.Random(seed)
         self.now_ms = 0.0
         self.one_way_ms = one_way_ms
@@ -172,11 +187,17 @@
         self.datagram_loss = 0.0
         self.bytes_sent = {}
         self.messages_sent = collections.Counter()
-        self.cluster = harness.Cluster(controls, seed)
-        self.cluster.run(3_000)
+        zones = control_zones or ZONES
         self._zones = {
-            f"m{index}": ZONES[index % len(ZONES)] for index in range(controls)
+            f"m{index}": zones[index % len(zones)] for index in range(controls)
         }
+        self.cluster = harness.Cluster(
+            controls, seed, zones=control_zones and self._zones
+        )
+        for tables in self.cluster.tables.values():
+            tables.members.saves_cross_zone = saves_cross_zone
+        self.cluster.run(3_000)
+        self.cluster.on_sent = self._count_control_message
         self._control_clock_offset_ms = self.cluster.now_ms
         self.cluster.on_external_effect = self._execute_control_effect
         self._heap = []
@@ -236,6 +257,7 @@
         )
         tables.routed = routed
         tables.members.decays_to_average = routed
+        tables.members.saves_cross_zone = self.saves_cross_zone
         tables.service = service if routed else ""
         backend = Backend(service, slots, service_ms) if service else None
         node = Node(name, tables, backend)
@@ -664,7 +686,9 @@
             stream.stalled.append(message)
             return
         payload = wire.encode(message)
-        self._count_sent(stream.owner, message, len(payload) + 20)
+        self._count_sent(
+            stream.owner, stream.peer_name, message, len(payload), 20
+        )
         delay_ms = self._delay_ms(stream.owner, stream.peer_name)
         at_ms = max(self.now_ms + delay_ms, stream.last_arrival_ms)
         stream.last_arrival_ms = at_ms
@@ -729,7 +753,7 @@
     def _send_datagram(self, source, address, message):
         target = address.partition(":")[0]
         payload = wire.encode(message)
-        self._count_sent(source, message, len(payload) + 44)
+        self._count_sent(source, target, message, len(payload), 44)
         if self._is_partitioned(source, target) or (
             self.random.random() < self.datagram_loss
         ):
@@ -757,9 +781,20 @@
             return
         self._settle(node)
 
-    def _count_sent(self, source, message, count):
+    def _count_sent(self, source, target, message, payload_bytes, overhead):
+        count = payload_bytes + overhead
         self.bytes_sent[source] = self.bytes_sent.get(source, 0) + count
         self.messages_sent[type(message)] += 1
+        scope = traffic.OTHER_ZONE
+        if self._zones.get(source) == self._zones.get(target):
+            scope = traffic.OWN_ZONE
+        row = self.sent[source, type(message).__name__, scope]
+        row.messages += 1
+        row.payload_bytes += payload_bytes
+
+    def _count_control_message(self, source, target, message):
+        payload = wire.encode(message)
+        self._count_sent(source, target, message, len(payload), 20)
 
     def _is_up(self, target):
         return target in self.nodes or target in self.cluster.tables
