Move the submission of changes into a module of its own

Behaviour is unchanged; tests call the moved functions where they are now. tests/control without the hypothesis machines: 99 passed.

--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -11,6 +11,7 @@
 from fescueyard.control import bootstrap
 from fescueyard.control import exposition
 from fescueyard.control import storage as storages
+from fescueyard.control import submissions
 from fescueyard.control import systems
 from fescueyard.control import tables as control_tables
 from fescueyard.core import addresses
@@ -212,13 +213,15 @@
         self._commands[exchange_id] = command
         origin = control_tables.LocalOrigin(exchange_id)
         if isinstance(command, admin.ChangeObject):
-            systems.submit_change(self._tables, command.change, origin, now_ms)
+            submissions.submit_change(
+                self._tables, command.change, origin, now_ms
+            )
         elif isinstance(command, admin.ApplyDocument):
-            systems.submit_document(
+            submissions.submit_document(
                 self._tables, command.change, origin, now_ms
             )
         elif isinstance(command, admin.ChangeMember):
-            systems.submit_members_change(
+            submissions.submit_members_change(
                 self._tables, command.member_id, command.add, origin, now_ms
             )
         elif isinstance(command, (admin.ReadObjects, admin.ReadDocument)):
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -1,10 +1,10 @@
-"""Decisions of a control process: changes, freshness, joining.
+"""Decisions of a control process: applying changes, freshness, joining.
 
-The I/O layer calls :func:`receive`, the ``submit`` functions and :func:`tick`,
-then :func:`save_and_apply`, and only then sends what is in the outbox.
+The I/O layer calls :func:`receive`, the ``submit`` functions (also those of
+:mod:`fescueyard.control.submissions`) and :func:`tick`, then
+:func:`save_and_apply`, and only then sends what is in the outbox.
 """
 
-import functools
 import zlib
 
 from fescueyard.configuration import messages as configuration_messages
@@ -15,16 +15,16 @@
 from fescueyard.consensus import log
 from fescueyard.consensus import messages as consensus_messages
 from fescueyard.consensus import models as consensus_models
-from fescueyard.consensus import replication
 from fescueyard.consensus import roles
 from fescueyard.consensus import systems as consensus
+from fescueyard.control import dispatch as control_dispatch
 from fescueyard.control import messages
 from fescueyard.control import repair
+from fescueyard.control import submissions
 from fescueyard.control import tables as control_tables
 from fescueyard.core import codes
 from fescueyard.core import dispatch
 from fescueyard.core import effects
-from fescueyard.core import exceptions
 from fescueyard.core import logs
 from fescueyard.core import wire
 from fescueyard.idempotency import assignment
@@ -37,12 +37,10 @@
 
 LOG = logs.ComponentLogger("control")
 
-CHANGE_TIMEOUT_MS = 3_000
 READ_TIMEOUT_MS = 1_500
 FRESHNESS_INTERVAL_MS = 200
 JOIN_INTERVAL_MS = 500
 APPLICANT_TTL_MS = 5_000
-ZLIB_LEVEL = 1
 SNAPSHOT_ENTRIES = 1_000
 # Complete documents are large; the log is compacted before it fills the disk.
 SNAPSHOT_LOG_BYTES = 16 * 1024 * 1024
@@ -64,98 +62,6 @@
     return min(leader_age_ms, follower_age_ms)
 
 
-def submit_change(tables, change, origin, now_ms):
-    """Propose an operator's change, or forward it to the leader.
-
-    :param change: :class:`~fescueyard.configuration.state.Change`.
-    :param origin: where the result is reported.
-    :param now_ms: the present time.
-    """
-    payload = wire.encode_plain(change)
-    index = replication.propose(
-        tables.consensus, consensus_models.CHANGE_ENTRY, payload, now_ms
-    )
-    if index is not None:
-        _add_pending_proposal(tables, index, origin, now_ms)
-        return
-    _forward(
-        tables,
-        lambda request_id: messages.ChangeRequest(request_id, change),
-        origin,
-        now_ms,
-    )
-
-
-def submit_document(tables, change, origin, now_ms):
-    """Propose a complete document, or forward it to the leader.
-
-    :param change: :class:`~fescueyard.configuration.state.DocumentChange`.
-    :param origin: where the result is reported.
-    :param now_ms: the present time.
-    """
-    payload = zlib.compress(wire.encode_plain(change), ZLIB_LEVEL)
-    index = replication.propose(
-        tables.consensus, consensus_models.DOCUMENT_ENTRY, payload, now_ms
-    )
-    if index is not None:
-        _add_pending_proposal(tables, index, origin, now_ms)
-        return
-    _forward(
-        tables,
-        lambda request_id: messages.DocumentChangeRequest(request_id, change),
-        origin,
-        now_ms,
-    )
-
-
-def submit_members_change(tables, member_id, add, origin, now_ms):
-    """Propose a change of the control members, or forward it to the leader.
-
-    :param member_id: the member.
-    :param add: whether to add or to remove it.
-    :param origin: where the result is reported.
-    :param now_ms: the present time.
-    """
-    consensus_table = tables.consensus
-    if not lease.is_leader(consensus_table):
-        _forward(
-            tables,
-            lambda request_id: messages.MembersChangeRequest(
-                request_id, member_id, add
-            ),
-            origin,
-            now_ms,
-        )
-        return
-    member = log.find_member(consensus_table, member_id)
-    if (member is not None) == add:
-        _report_result(tables, origin, _change_result(codes.CHANGED))
-        return
-    if add:
-        applicant = tables.applicants.get(member_id)
-        if applicant is None:
-            _report_result(
-                tables, origin, _change_result(codes.UNKNOWN_OBJECT)
-            )
-            return
-        members = consensus_table.members + [applicant.member]
-    else:
-        members = [
-            other for other in consensus_table.members if other is not member
-        ]
-        if not any(other.voter for other in members):
-            detail = "the last voter can't be removed"
-            _report_result(
-                tables, origin, _change_result(codes.BAD_CHANGE, detail)
-            )
-            return
-    index = replication.propose_members(consensus_table, members, now_ms)
-    if index is None:
-        _report_result(tables, origin, _change_result(codes.MEMBERS_BUSY))
-        return
-    _add_pending_proposal(tables, index, origin, now_ms)
-
-
 def submit_read(tables, exchange_id, now_ms):
     """Queue a read until the state has every change accepted before it.
 
@@ -232,14 +138,7 @@
     _update_freshness(tables)
     _complete_reads(tables, now_ms)
     if not lease.is_leader(consensus_table):
-        # A process that lost the leadership can't tell whether these commit.
-        for index in list(tables.pending_proposals):
-            pending = tables.pending_proposals.pop(index)
-            _report_result(
-                tables,
-                pending.origin,
-                _change_result(codes.CHANGE_OUTCOME_UNKNOWN),
-            )
+        submissions.abandon_proposals(tables)
 
 
 def needs_snapshot(tables):
@@ -284,8 +183,7 @@
     tables.events.clear()
     _request_freshness(tables, now_ms)
     _request_join(tables, now_ms)
-    _expire_pending(tables, tables.pending_proposals, now_ms)
-    _expire_pending(tables, tables.forwarded_changes, now_ms)
+    submissions.tick(tables, now_ms)
     for member_id in list(tables.applicants):
         applicant = tables.applicants[member_id]
         if now_ms - applicant.last_request_at_ms > APPLICANT_TTL_MS:
@@ -294,23 +192,11 @@
 
 def _assign_claims(tables, now_ms):
     for change in assignment.changes_due(tables, now_ms):
-        submit_change(tables, change, control_tables.InternalOrigin(), now_ms)
-
-
-def control_addresses(tables):
-    """List the control VMs' stream addresses, the leader's first.
-
-    :returns: list of ``host:port``.
-    """
-    leader_id = tables.consensus.leader_id
-    members = sorted(
-        tables.consensus.members,
-        key=lambda other: other.member_id != leader_id,
-    )
-    return [member.address for member in members]
+        submissions.submit_change(
+            tables, change, control_tables.InternalOrigin(), now_ms
+        )
 
 
-@functools.singledispatch
 def receive(message, tables, peer_id, stream, now_ms):
     """Handle a message from a stream or a datagram.
 
@@ -323,15 +209,23 @@
     :raises InconsistentTablesError: when a message of the consensus protocol
         is left half handled.
     """
-    try:
-        consensus_dispatch.receive(message, tables.consensus, peer_id, now_ms)
-    except exceptions.StreamError:
-        raise
-    except Exception as error:
-        raise exceptions.InconsistentTablesError(repr(error)) from error
+    control_dispatch.receive(message, tables, peer_id, stream, now_ms)
+
+
+def control_addresses(tables):
+    """List the control VMs' stream addresses, the leader's first.
+
+    :returns: list of ``host:port``.
+    """
+    leader_id = tables.consensus.leader_id
+    members = sorted(
+        tables.consensus.members,
+        key=lambda other: other.member_id != leader_id,
+    )
+    return [member.address for member in members]
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_vote_request(
     message: consensus_messages.VoteRequest, tables, peer_id, stream, now_ms
 ):
@@ -348,14 +242,14 @@
     consensus_dispatch.receive(message, consensus_table, peer_id, now_ms)
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_not_a_member(
     message: messages.NotAMember, tables, peer_id, stream, now_ms
 ):
     tables.rejoin_until_ms = now_ms + REJOIN_WINDOW_MS
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_configuration_request(
     message: configuration_messages.ConfigurationRequest,
     tables,
@@ -373,7 +267,7 @@
         tables.effects.append(effects.SendReply(stream, response))
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_freshness_request(
     message: messages.FreshnessRequest, tables, peer_id, stream, now_ms
 ):
@@ -385,7 +279,7 @@
     tables.effects.append(effects.SendReply(stream, response))
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_freshness_response(
     message: messages.FreshnessResponse, tables, peer_id, stream, now_ms
 ):
@@ -399,7 +293,7 @@
         tables.freshness.pending_bounds.append(bound)
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_join_request(
     message: messages.JoinRequest, tables, peer_id, stream, now_ms
 ):
@@ -418,69 +312,25 @@
         tables.effects.append(effects.SendMessage(leader.address, message))
 
 
-@receive.register
-def _receive_change_request(
-    message: messages.ChangeRequest, tables, peer_id, stream, now_ms
-):
-    origin = control_tables.RemoteOrigin(stream, message.request_id)
-    if not lease.is_leader(tables.consensus):
-        _report_result(tables, origin, _change_result(codes.NO_LEADER))
-        return
-    submit_change(tables, message.change, origin, now_ms)
-
-
-@receive.register
-def _receive_document_request(
-    message: messages.DocumentChangeRequest, tables, peer_id, stream, now_ms
-):
-    origin = control_tables.RemoteOrigin(stream, message.request_id)
-    if not lease.is_leader(tables.consensus):
-        _report_result(tables, origin, _change_result(codes.NO_LEADER))
-        return
-    submit_document(tables, message.change, origin, now_ms)
-
-
-@receive.register
-def _receive_members_request(
-    message: messages.MembersChangeRequest, tables, peer_id, stream, now_ms
-):
-    origin = control_tables.RemoteOrigin(stream, message.request_id)
-    if not lease.is_leader(tables.consensus):
-        _report_result(tables, origin, _change_result(codes.NO_LEADER))
-        return
-    submit_members_change(
-        tables, message.member_id, message.add, origin, now_ms
-    )
-
-
-@receive.register
-def _receive_change_response(
-    message: messages.ChangeResponse, tables, peer_id, stream, now_ms
-):
-    pending = tables.forwarded_changes.pop(message.request_id, None)
-    if pending is not None:
-        _report_result(tables, pending.origin, message.result)
-
-
-@receive.register(routing_messages.Ping)
-@receive.register(routing_messages.Ack)
-@receive.register(routing_messages.PingRequest)
-@receive.register(routing_messages.Gossip)
-@receive.register(routing_messages.TableRequest)
-@receive.register(routing_messages.TableResponse)
+@control_dispatch.receive.register(routing_messages.Ping)
+@control_dispatch.receive.register(routing_messages.Ack)
+@control_dispatch.receive.register(routing_messages.PingRequest)
+@control_dispatch.receive.register(routing_messages.Gossip)
+@control_dispatch.receive.register(routing_messages.TableRequest)
+@control_dispatch.receive.register(routing_messages.TableResponse)
 def _receive_membership(message, tables, peer_id, stream, now_ms):
     sender = dispatch.Sender(peer_id, stream)
     dispatch.receive(message, tables, sender, now_ms)
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_sync_status_response(
     message: claim_messages.SyncStatusResponse, tables, peer_id, stream, now_ms
 ):
     assignment.record_sync_status(tables, peer_id, message.synced)
 
 
-@receive.register
+@control_dispatch.receive.register
 def _receive_token_request(
     message: limit_messages.TokenRequest, tables, peer_id, stream, now_ms
 ):
@@ -499,60 +349,6 @@
     tables.effects.append(effects.SendReply(stream, response))
 
 
-def _add_pending_proposal(tables, index, origin, now_ms):
-    tables.pending_proposals[index] = control_tables.PendingChange(
-        origin, now_ms + CHANGE_TIMEOUT_MS, tables.consensus.vote.term
-    )
-
-
-def _forward(tables, make_message, origin, now_ms):
-    leader = log.find_member(tables.consensus, tables.consensus.leader_id)
-    if leader is None or leader.member_id == tables.consensus.member_id:
-        _report_result(tables, origin, _change_result(codes.NO_LEADER))
-        return
-    tables.last_request_id += 1
-    request_id = tables.last_request_id
-    tables.forwarded_changes[request_id] = control_tables.PendingChange(
-        origin, now_ms + CHANGE_TIMEOUT_MS
-    )
-    tables.effects.append(
-        effects.SendMessage(leader.address, make_message(request_id))
-    )
-
-
-def _change_result(code, detail=""):
-    if code is codes.CHANGED:
-        return states.ChangeResult(code.number, 0, "")
-    return states.ChangeResult(code.number, 0, detail or code.title)
-
-
-@functools.singledispatch
-def _deliver(origin, tables, result):
-    raise TypeError(f"unknown origin: {origin!r}")
-
-
-@_deliver.register
-def _deliver_local(origin: control_tables.LocalOrigin, tables, result):
-    tables.outcomes.append(
-        control_tables.ChangeCompleted(origin.exchange_id, result)
-    )
-
-
-@_deliver.register
-def _deliver_internal(origin: control_tables.InternalOrigin, tables, result):
-    """Discard the result; changes still due are proposed again."""
-
-
-@_deliver.register
-def _deliver_remote(origin: control_tables.RemoteOrigin, tables, result):
-    response = messages.ChangeResponse(origin.request_id, result)
-    tables.effects.append(effects.SendReply(origin.stream, response))
-
-
-def _report_result(tables, origin, result):
-    _deliver(origin, tables, result)
-
-
 def _restore_snapshot(tables):
     snapshot = tables.consensus.snapshot
     tables.state = states.load_state(snapshot.state)
@@ -560,7 +356,7 @@
 
 
 def _apply_entry(tables, entry):
-    result = _change_result(codes.CHANGED)
+    result = submissions.change_result(codes.CHANGED)
     if entry.kind == consensus_models.CHANGE_ENTRY:
         change = wire.decode_plain(states.Change, entry.payload)
         result = states.apply_change(tables.state, change, entry.index)
@@ -582,8 +378,8 @@
     if pending is None:
         return
     if pending.term != entry.term:
-        result = _change_result(codes.CHANGE_OUTCOME_UNKNOWN)
-    _report_result(tables, pending.origin, result)
+        result = submissions.change_result(codes.CHANGE_OUTCOME_UNKNOWN)
+    submissions.report_result(tables, pending.origin, result)
 
 
 def _update_freshness(tables):
@@ -656,15 +452,3 @@
                     address, messages.JoinRequest(tables.own_member)
                 )
             )
-
-
-def _expire_pending(tables, pending_changes, now_ms):
-    for change_key in list(pending_changes):
-        pending = pending_changes[change_key]
-        if now_ms >= pending.timeout_at_ms:
-            del pending_changes[change_key]
-            _report_result(
-                tables,
-                pending.origin,
-                _change_result(codes.CHANGE_OUTCOME_UNKNOWN),
-            )
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -12,6 +12,7 @@
 from fescueyard.consensus import log
 from fescueyard.consensus import models as consensus_models
 from fescueyard.control import storage
+from fescueyard.control import submissions
 from fescueyard.control import systems
 from fescueyard.control import tables as control_tables
 from fescueyard.core import effects
@@ -209,7 +210,7 @@
             b'{"share":%d}' % value,
         )
         origin = control_tables.LocalOrigin(self._register(operation))
-        systems.submit_change(
+        submissions.submit_change(
             self.tables[member_id], change, origin, self.now_ms
         )
         self._process_pending(member_id)
@@ -231,7 +232,7 @@
         if leader_id is None:
             return operation
         origin = control_tables.LocalOrigin(self._register(operation))
-        systems.submit_members_change(
+        submissions.submit_members_change(
             self.tables[leader_id], member_id, add, origin, self.now_ms
         )
         self._process_pending(leader_id)
--- a/tests/world.py
+++ b/tests/world.py
@@ -17,6 +17,7 @@
 from fescueyard.admission import registration
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import state as states
+from fescueyard.control import submissions
 from fescueyard.control import systems as control_systems
 from fescueyard.control import tables as control_tables
 from fescueyard.core import codes
@@ -204,7 +205,7 @@
             document,
         )
         origin = control_tables.LocalOrigin(-self._version)
-        control_systems.submit_change(
+        submissions.submit_change(
             leader, change, origin, self._sync_control_clock()
         )
         self.cluster._process_pending(leader.consensus.member_id)
