Replicate the evacuation of a zone and take it from operators

Operators need to declare that a zone's backend servers must not be used. An evacuation is an object of a new kind, named after the zone, which no document sets. Its change is idempotent and goes through the log like the others; one that was delayed on its way to the leader and overtaken by a later one is rejected (3012), so it can't undo what was acknowledged. A change that waits for a leader that is gone is forwarded to the next one. Unknown zones get 3011. Operators use /v1/evacuations, on the platform /v1/evacuate/ZONE.

--- a/fescueyard/conf/settings.py
+++ b/fescueyard/conf/settings.py
@@ -135,6 +135,8 @@
     :param voters_max: maximum number of voting members.
     :param keeps_claims: assign replicas of claims; when false, requests with
         an idempotency key are refused.
+    :param zones: availability zones that operators may evacuate, in addition
+        to those of the known processes.
     """
 
     __pydantic_config__ = _FORBID_EXTRA
@@ -150,6 +152,7 @@
         defaults.VOTERS_MAX
     )
     keeps_claims: bool = True
+    zones: list[str] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fescueyard/configuration/models.py
+++ b/fescueyard/configuration/models.py
@@ -38,6 +38,7 @@
     CLAIM_GROUP = "claim_group"
     ROUTE = "route"
     LISTENER = "listener"
+    EVACUATION = "evacuation"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -276,6 +277,16 @@
     idle_timeout_ms: PositiveInt
 
 
+@dataclasses.dataclass(frozen=True)
+class Evacuation:
+    """An evacuated availability zone; the object's name is the zone.
+
+    No request goes to the backend servers of the zone while it exists.
+    """
+
+    __pydantic_config__ = _STRICT
+
+
 _CLASSES = {
     Kind.PROFILE: Profile,
     Kind.SERVICE: Service,
@@ -285,6 +296,7 @@
     Kind.CLAIM_GROUP: ClaimGroup,
     Kind.ROUTE: Route,
     Kind.LISTENER: Listener,
+    Kind.EVACUATION: Evacuation,
 }
 _ADAPTERS = {kind: pydantic.TypeAdapter(cls) for kind, cls in _CLASSES.items()}
 
--- a/fescueyard/configuration/state.py
+++ b/fescueyard/configuration/state.py
@@ -25,6 +25,7 @@
     models.Kind.ROUTE,
     models.Kind.LISTENER,
 )
+EVACUATION_DOCUMENT = b"{}"
 JOURNAL_ENTRIES_MAX = 4_000
 RECORDED_RESULTS_MAX = 20_000
 
@@ -38,7 +39,8 @@
     :param kind: value of :class:`~fescueyard.configuration.models.Kind`.
     :param name: the object's name.
     :param expected_version: version of the object that the operator saw; 0
-        when the object must not exist.
+        when the object must not exist. For an evacuation, the index up to
+        which the process that received the change knew the log.
     :param document: JSON; empty to retire the object.
     """
 
@@ -121,6 +123,17 @@
     result: ChangeResult
 
 
+@dataclasses.dataclass(slots=True)
+class EvacuationEnd:
+    """The last end of the evacuation of a zone that is not evacuated.
+
+    :param version: version of the configuration that ended it.
+    """
+
+    zone: str
+    version: int
+
+
 @dataclasses.dataclass(slots=True)
 class StateRecord:
     """The state as written to a snapshot."""
@@ -130,6 +143,9 @@
     objects: list[messages.ObjectVersion]
     recorded_results: list[RecordedResult]
     applied_document: AppliedDocument
+    evacuation_ends: list[EvacuationEnd] = dataclasses.field(
+        default_factory=list
+    )
 
 
 class ConfigurationState:
@@ -137,7 +153,8 @@
 
     ``objects`` has the validated objects by kind and name, ``object_versions``
     their documents and versions. ``journal`` has the changes after
-    ``journal_floor_version``.
+    ``journal_floor_version``. ``evacuation_ends`` has the versions that last
+    ended the evacuation of a zone, by zone.
 
     :param cluster_id: identity of the cluster; empty when unknown.
     """
@@ -151,6 +168,7 @@
         self.journal_floor_version = 0
         self.recorded_results = collections.OrderedDict()
         self.applied_document = AppliedDocument(0, b"")
+        self.evacuation_ends = {}
 
     def find(self, kind, name):
         """Look up an object.
@@ -209,6 +227,8 @@
     :param version: version of the configuration if the change is accepted.
     :returns: :class:`ChangeResult`; a resend gets the recorded one.
     """
+    if change.kind == models.Kind.EVACUATION.value:
+        return _apply_evacuation(state, change, version)
     digest = hashlib.sha256(wire.encode_plain(change)).digest()
     recorded = state.recorded_results.get(change.change_id)
     if recorded is not None:
@@ -226,6 +246,32 @@
     return result
 
 
+def evacuation_change(operator, zone, evacuated, known_index):
+    """Create the change that starts or ends the evacuation of a zone.
+
+    It is idempotent, so it needs neither an id nor the version of the object.
+
+    :param operator: name of the operator who sent it.
+    :param zone: the zone.
+    :param evacuated: whether the zone is to be evacuated.
+    :param known_index: index up to which the process that received it knows
+        the log.
+    :returns: :class:`Change`.
+    """
+    document = EVACUATION_DOCUMENT if evacuated else b""
+    kind = models.Kind.EVACUATION.value
+    return Change("", operator, kind, zone, known_index, document)
+
+
+def evacuated_zones(state):
+    """List the evacuated zones.
+
+    :param state: :class:`ConfigurationState`.
+    :returns: list of names, sorted.
+    """
+    return sorted(state.objects[models.Kind.EVACUATION])
+
+
 def apply_document(state, change, version):
     """Apply a complete document.
 
@@ -354,6 +400,7 @@
         all_objects(state),
         list(state.recorded_results.values()),
         state.applied_document,
+        [EvacuationEnd(*end) for end in state.evacuation_ends.items()],
     )
     return wire.encode_plain(record)
 
@@ -374,9 +421,38 @@
     for recorded in record.recorded_results:
         state.recorded_results[recorded.change_id] = recorded
     state.applied_document = record.applied_document
+    state.evacuation_ends = {
+        end.zone: end.version for end in record.evacuation_ends
+    }
     return state
 
 
+def _apply_evacuation(state, change, version):
+    """Start or end an evacuation, unless that state already holds.
+
+    A request that was delayed on its way to the leader must not undo a later
+    one that was acknowledged in the meantime. So it is rejected if the zone
+    has changed since the process that received it knew the log.
+    """
+    zone = change.name
+    current = state.version_of(models.Kind.EVACUATION, zone)
+    if bool(change.document) == bool(current):
+        return ChangeResult(codes.CHANGED.number, current, "")
+    decided = current or state.evacuation_ends.get(zone, 0)
+    if decided > change.expected_version:
+        return _rejection(codes.OVERTAKEN, decided)
+    object_version = messages.ObjectVersion(
+        change.kind, zone, version, change.document
+    )
+    state.put(object_version)
+    state.add_to_journal(object_version)
+    if change.document:
+        state.evacuation_ends.pop(zone, None)
+    else:
+        state.evacuation_ends[zone] = version
+    return ChangeResult(codes.CHANGED.number, version, "")
+
+
 def _validate_change(state, change, version):
     kind = models.Kind(change.kind)
     current = state.version_of(kind, change.name)
--- a/fescueyard/control/admin.py
+++ b/fescueyard/control/admin.py
@@ -11,6 +11,7 @@
 
 from fescueyard.configuration import models
 from fescueyard.configuration import state as states
+from fescueyard.control import evacuations
 from fescueyard.core import codes
 from fescueyard.core import exceptions
 from fescueyard.core import http
@@ -29,6 +30,8 @@
         routing.Rule("/v1/objects/<kind>", endpoint="list"),
         routing.Rule("/v1/objects/<kind>/<name>", endpoint="object"),
         routing.Rule("/v1/document", endpoint="document"),
+        routing.Rule("/v1/evacuations", endpoint="evacuations"),
+        routing.Rule("/v1/evacuations/<zone>", endpoint="evacuation"),
         routing.Rule("/v1/members", endpoint="members"),
         routing.Rule("/v1/members/<member_id>", endpoint="member"),
         routing.Rule("/v1/status", endpoint="status"),
@@ -135,6 +138,10 @@
         return ApplyDocument(_parse_document(request, operator))
     if endpoint == "object" and request.method in ("PUT", "DELETE"):
         return ChangeObject(_parse_change(request, operator, **values))
+    if endpoint == "evacuation" and request.method in ("PUT", "DELETE"):
+        return evacuations.parse(
+            request, operator, values["zone"], request.method == "PUT"
+        )
     if endpoint == "member" and request.method in ("PUT", "DELETE"):
         return ChangeMember(values["member_id"], request.method == "PUT")
     if request.method != "GET":
@@ -252,6 +259,8 @@
         return ReadObjects(models.parse_kind(values["kind"]), values["name"])
     if endpoint == "document":
         return ReadDocument()
+    if endpoint == "evacuations":
+        return evacuations.ReadEvacuations()
     if endpoint == "members":
         return ReadMembers()
     if endpoint == "status":
@@ -265,6 +274,8 @@
     parsed_kind = models.parse_kind(kind)
     if parsed_kind is models.Kind.CLAIM_GROUP:
         raise exceptions.ChangeError("the system sets claim groups itself")
+    if parsed_kind is models.Kind.EVACUATION:
+        raise exceptions.ChangeError("evacuations are set at /v1/evacuations")
     models.check_name(name)
     change_id = request.header(CHANGE_ID_HEADER) or ""
     if not 0 < len(change_id) <= CHANGE_ID_LENGTH_MAX:
--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -4,11 +4,13 @@
 import secrets
 
 from fescueyard.conf import settings as conf_settings
+from fescueyard.configuration import state as states
 from fescueyard.consensus import elections
 from fescueyard.consensus import log
 from fescueyard.consensus import models as consensus_models
 from fescueyard.control import admin
 from fescueyard.control import bootstrap
+from fescueyard.control import evacuations
 from fescueyard.control import exposition
 from fescueyard.control import storage as storages
 from fescueyard.control import submissions
@@ -36,6 +38,12 @@
 STOP_TIMEOUT_S = 5.0
 STORAGE_RETRY_S = 0.5
 ADMIN_BODY_BYTES_MAX = 16 * 1024 * 1024
+# Reads that wait until the state has every change accepted before them.
+_FRESH_READS = (
+    admin.ReadObjects,
+    admin.ReadDocument,
+    evacuations.ReadEvacuations,
+)
 
 
 class ControlProcess:
@@ -82,6 +90,7 @@
             ),
             settings.voters_max,
         )
+        self._tables.zones = settings.zones
         secret = conf_settings.read_secret(
             settings.cluster_secret,
             settings.cluster_secret_file,
@@ -145,6 +154,7 @@
             return
         self.settings = settings
         self._tables.control_addresses = settings.control_addresses
+        self._tables.zones = settings.zones
         self._tables.members.seeds = list(settings.control_addresses)
         LOG.info("reloaded", control_addresses=settings.control_addresses)
 
@@ -224,7 +234,9 @@
             submissions.submit_members_change(
                 self._tables, command.member_id, command.add, origin, now_ms
             )
-        elif isinstance(command, (admin.ReadObjects, admin.ReadDocument)):
+        elif isinstance(command, evacuations.ChangeEvacuation):
+            evacuations.submit(self._tables, command, origin, now_ms)
+        elif isinstance(command, _FRESH_READS):
             systems.submit_read(self._tables, exchange_id, now_ms)
         else:
             self._respond(
@@ -302,6 +314,7 @@
                 "term": consensus_table.vote.term,
                 "version": tables.state.version,
                 "age_ms": age_ms if age_ms < 1e12 else None,
+                "evacuated_zones": states.evacuated_zones(tables.state),
                 "streams": self._stream_pool.stream_count(),
             },
         )
@@ -398,6 +411,7 @@
             order=outcome.exchange_id,
             status=response.status,
             in_force=self._tables.state.applied_document.number,
+            evacuated=states.evacuated_zones(self._tables.state),
             age_ms=_round_finite(
                 systems.state_age_ms(self._tables, clock.now_ms())
             ),
@@ -414,6 +428,10 @@
             return None
         if isinstance(command, admin.ReadDocument):
             return self._interface.document_response(self._tables.state)
+        if isinstance(command, evacuations.ReadEvacuations):
+            return admin.json_response(
+                200, evacuations.listing(self._tables.state)
+            )
         return admin.objects_response(self._tables.state, command)
 
     def _log_role(self):
--- a/fescueyard/control/exposition.py
+++ b/fescueyard/control/exposition.py
@@ -1,5 +1,6 @@
 """The metrics of a control process."""
 
+from fescueyard.configuration import state as states
 from fescueyard.consensus import lease
 from fescueyard.control import systems
 from fescueyard.core import exposition
@@ -25,6 +26,7 @@
             member.voter for member in consensus_table.members
         ),
         "control_document": tables.state.applied_document.number,
+        "control_zones_evacuated": len(states.evacuated_zones(tables.state)),
         "control_age_ms": systems.state_age_ms(tables, now_ms),
         "tokens_granted_total": tables.fleet_grantor.granted_count,
         "rate_holders_silent": len(
--- a/fescueyard/control/submissions.py
+++ b/fescueyard/control/submissions.py
@@ -7,6 +7,7 @@
 import functools
 import zlib
 
+from fescueyard.configuration import models as configuration_models
 from fescueyard.configuration import state as states
 from fescueyard.consensus import lease
 from fescueyard.consensus import log
@@ -21,6 +22,7 @@
 
 CHANGE_TIMEOUT_MS = 3_000
 ZLIB_LEVEL = 1
+_IDEMPOTENT_KINDS = frozenset({configuration_models.Kind.EVACUATION.value})
 
 
 def submit_change(tables, change, origin, now_ms):
@@ -42,6 +44,7 @@
         lambda request_id: messages.ChangeRequest(request_id, change),
         origin,
         now_ms,
+        change if change.kind in _IDEMPOTENT_KINDS else None,
     )
 
 
@@ -116,9 +119,13 @@
 def tick(tables, now_ms):
     """Report the changes that have waited too long as of unknown outcome.
 
+    Idempotent changes are submitted again once another member leads, as the
+    member that they were forwarded to may be down.
+
     :param tables: the process's tables.
     :param now_ms: the present time.
     """
+    _forward_again(tables, now_ms)
     _expire_pending(tables, tables.pending_proposals, now_ms)
     _expire_pending(tables, tables.forwarded_changes, now_ms)
 
@@ -211,7 +218,7 @@
     )
 
 
-def _forward(tables, make_message, origin, now_ms):
+def _forward(tables, make_message, origin, now_ms, idempotent_change=None):
     leader = log.find_member(tables.consensus, tables.consensus.leader_id)
     if leader is None or leader.member_id == tables.consensus.member_id:
         report_result(tables, origin, change_result(codes.NO_LEADER))
@@ -219,7 +226,10 @@
     tables.last_request_id += 1
     request_id = tables.last_request_id
     tables.forwarded_changes[request_id] = control_tables.PendingChange(
-        origin, now_ms + CHANGE_TIMEOUT_MS
+        origin,
+        now_ms + CHANGE_TIMEOUT_MS,
+        change=idempotent_change,
+        leader_id=leader.member_id,
     )
     tables.effects.append(
         effects.SendMessage(leader.address, make_message(request_id))
@@ -249,6 +259,15 @@
     tables.effects.append(effects.SendReply(origin.stream, response))
 
 
+def _forward_again(tables, now_ms):
+    leader_id = tables.consensus.leader_id
+    for request_id, pending in list(tables.forwarded_changes.items()):
+        if pending.change is None or leader_id in ("", pending.leader_id):
+            continue
+        del tables.forwarded_changes[request_id]
+        submit_change(tables, pending.change, pending.origin, now_ms)
+
+
 def _expire_pending(tables, pending_changes, now_ms):
     for change_key in list(pending_changes):
         pending = pending_changes[change_key]
--- a/fescueyard/control/systems.py
+++ b/fescueyard/control/systems.py
@@ -8,6 +8,7 @@
 import zlib
 
 from fescueyard.configuration import messages as configuration_messages
+from fescueyard.configuration import models as configuration_models
 from fescueyard.configuration import replica
 from fescueyard.configuration import state as states
 from fescueyard.consensus import dispatch as consensus_dispatch
@@ -360,6 +361,16 @@
     if entry.kind == consensus_models.CHANGE_ENTRY:
         change = wire.decode_plain(states.Change, entry.payload)
         result = states.apply_change(tables.state, change, entry.index)
+        if change.kind == configuration_models.Kind.EVACUATION.value:
+            LOG.info(
+                "evacuation_decided",
+                zone=change.name,
+                evacuated=bool(change.document),
+                operator=change.operator,
+                index=entry.index,
+                code=result.code,
+                zones=states.evacuated_zones(tables.state),
+            )
     elif entry.kind == consensus_models.DOCUMENT_ENTRY:
         change = wire.decode_plain(
             states.DocumentChange, zlib.decompress(entry.payload)
--- a/fescueyard/control/tables.py
+++ b/fescueyard/control/tables.py
@@ -79,6 +79,9 @@
         :class:`RemoteOrigin`.
     :param timeout_at_ms: when its outcome is reported as unknown.
     :param term: term it was proposed in; 0 for a forwarded change.
+    :param change: an idempotent change that is forwarded again if the leader
+        changes; None for others.
+    :param leader_id: the member it was forwarded to.
     """
 
     origin: object
@@ -86,6 +89,8 @@
         metadata=dumps.written_as("give_up_at_ms")
     )
     term: int = 0
+    change: states.Change | None = None
+    leader_id: str = ""
 
 
 @dataclasses.dataclass
@@ -169,6 +174,7 @@
     :param outcomes: results for local exchanges, for the I/O layer to
         deliver.
     :param effects: messages for the I/O layer to send.
+    :param zones: availability zones named by the settings.
     """
 
     consensus: consensus_models.ConsensusTable
@@ -216,6 +222,7 @@
     join_due_ms: float = 0.0
     outcomes: list = dataclasses.field(default_factory=list)
     effects: list = dataclasses.field(default_factory=list)
+    zones: list[str] = dataclasses.field(default_factory=list)
 
 
 def new_tables(
--- a/fescueyard/core/codes.py
+++ b/fescueyard/core/codes.py
@@ -149,6 +149,15 @@
     True,
 )
 
+ZONE_EVACUATED = _define(
+    2108,
+    "zone_evacuated",
+    503,
+    _NOT_RUN,
+    "The zone of the backend server is evacuated.",
+    True,
+)
+
 # 2200 to 2299: the fleet can't serve the request at present.
 NO_BACKEND = _define(
     2200, "no_backend", 503, _NOT_RUN, "No backend server is available.", True
@@ -349,6 +358,16 @@
     True,
 )
 
+UNKNOWN_ZONE = _define(3011, "unknown_zone", 404, _NOT_RUN, "No such zone.")
+OVERTAKEN = _define(
+    3012,
+    "overtaken",
+    409,
+    _NOT_RUN,
+    "A later change of the zone came first; send it again if still wanted.",
+    True,
+)
+
 # 4000 to 4099: settings, storage and streams of a process.
 BAD_SETTINGS = _define(4000, "bad_settings", 500, _NOT_RUN, "Bad settings.")
 CORRUPT_STORAGE = _define(
--- a/fescueyard/platform/operators.py
+++ b/fescueyard/platform/operators.py
@@ -4,18 +4,21 @@
 
 from fescueyard.configuration import models
 from fescueyard.control import admin
+from fescueyard.control import evacuations
 from fescueyard.core import codes
 from fescueyard.core import exceptions
 from fescueyard.core import http
 from fescueyard.platform import configurations
 
 CONFIGURATION_PATH = "/v1/config"
+EVACUATION_PATH = "/v1/evacuate/"
 OPERATOR_NAME = "operator"
 _STATUS_BY_CODE = {
     codes.VERSION_CONFLICT: 412,
     codes.BAD_CHANGE: 400,
     codes.BROKEN_REFERENCE: 400,
     codes.UNKNOWN_OBJECT: 404,
+    codes.UNKNOWN_ZONE: 404,
 }
 _UNAVAILABLE_STATUS = 503
 
@@ -38,7 +41,10 @@
         :returns: a command of :mod:`fescueyard.control.admin`.
         :raises ChangeError: when the request is rejected.
         """
-        if request.target.partition("?")[0] != CONFIGURATION_PATH:
+        path = request.target.partition("?")[0]
+        if path.startswith(EVACUATION_PATH):
+            return _parse_evacuation(request, path)
+        if path != CONFIGURATION_PATH:
             raise exceptions.ChangeError("", codes.UNKNOWN_OBJECT)
         if request.method == "GET":
             return admin.ReadDocument()
@@ -89,3 +95,14 @@
         if status == _UNAVAILABLE_STATUS:
             response.headers.append(http.Header("retry-after", "0.3"))
         return response
+
+
+def _parse_evacuation(request, path):
+    if request.method not in ("POST", "DELETE"):
+        raise exceptions.ChangeError(f"method {request.method}")
+    return evacuations.parse(
+        request,
+        OPERATOR_NAME,
+        path[len(EVACUATION_PATH) :],
+        request.method == "POST",
+    )
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -68,6 +68,8 @@
     # Addresses of the administration API, not of the streams.
     Seeds: list[str]
     Listen: _ListenTable
+    # By zone; only the names of the zones are used.
+    Zones: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -178,6 +180,7 @@
             settings.defaults.VOTERS_MAX, max(3, 2 * failures_tolerated + 1)
         ),
         keeps_claims=False,
+        zones=list(parsed.Network.Zones),
     )
     return settings.load(settings.ControlSettings, values, _environment())
 
