Send no request to the backend servers of an evacuated zone

Nodes leave out evacuated zones when they choose a server; a server's node rejects arrivals, and what is queued when an evacuation takes effect, with the new code 2108 (not run). Such a retry goes to another zone without a retry budget: no backend server saw the request. A sender that gets 2108 leaves out the whole zone for a second, as its servers may outnumber the attempts of a request. A node without a configuration runs nothing, as it can't know yet.

--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -28,6 +28,7 @@
 from fescueyard.pressure import entry
 from fescueyard.pressure import measurement
 from fescueyard.retries import quarantine
+from fescueyard.routing import evacuation
 
 LOG = logs.ComponentLogger("admission")
 
@@ -271,10 +272,21 @@
 def _handle_backend_drained(
     event: registration.BackendDrained, tables, now_ms
 ):
+    _reject_queued(tables, codes.LEAVING, now_ms)
+
+
+@dispatch.handle.register
+def _handle_own_zone_evacuated(
+    event: evacuation.OwnZoneEvacuated, tables, now_ms
+):
+    _reject_queued(tables, codes.ZONE_EVACUATED, now_ms)
+
+
+def _reject_queued(tables, code, now_ms):
     table = tables.runs
     for run_id in list(table.rows):
         if run_id not in table.running:
-            _reject(tables, table.rows[run_id], codes.LEAVING, now_ms)
+            _reject(tables, table.rows[run_id], code, now_ms)
 
 
 def _rejection_code(tables, run, now_ms):
@@ -283,8 +295,14 @@
     backend = tables.runs.backend
     if backend is None or backend.service != forward.service:
         return codes.NO_BACKEND
+    if not tables.configuration.state.cluster_id:
+        # A node that was just started can't know whether its zone is
+        # evacuated.
+        return codes.NO_BACKEND
     if backend.leaving or tables.runs.closed:
         return codes.LEAVING
+    if evacuation.is_evacuated(tables, tables.members.own.zone):
+        return codes.ZONE_EVACUATED
     if run.deadline_at_ms <= now_ms:
         return codes.DEADLINE_NOT_RUN
     if _key_is_withdrawn(tables, forward):
--- a/fescueyard/ingress/failover.py
+++ b/fescueyard/ingress/failover.py
@@ -44,6 +44,7 @@
     codes.OVERLOADED,
     codes.EVICTED,
     codes.SERVER_LIMITED,
+    codes.ZONE_EVACUATED,
     codes.DEADLINE_UNREACHABLE,
     codes.LEAVING,
     codes.NO_BACKEND,
@@ -107,7 +108,7 @@
         return False
     if code.outcome is not codes.Outcome.NOT_RUN and not call.idempotent:
         return False
-    if call.attempts_max is None:
+    if call.attempts_max is None and not needs_no_budget(code):
         return True
     if code in BACKEND_REACHED_CODES:
         return _may_use_another_backend(tables, call, now_ms)
@@ -116,3 +117,15 @@
     return balancer.has_untried_backend(
         tables, call.service, call.tried_node_ids, now_ms
     )
+
+
+def needs_no_budget(code):
+    """Return whether a retry is no load that a retry budget has to bound.
+
+    While an evacuation takes effect, each request to the zone is rejected at
+    once and goes to another zone, so the number of runs stays the same.
+
+    :param code: result code of the attempt.
+    :returns: bool.
+    """
+    return code is codes.ZONE_EVACUATED
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -31,6 +31,7 @@
 from fescueyard.retries import quarantine
 from fescueyard.retries import systems as retries
 from fescueyard.routing import balancer
+from fescueyard.routing import evacuation
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import outliers
@@ -448,6 +449,8 @@
         balancer.mark_limited(
             tables, node_id, forward_response.retry_after_ms, now_ms
         )
+    if forward_response.code == codes.ZONE_EVACUATED.number:
+        evacuation.record_rejection(tables, node_id, now_ms)
     balancer.record_notice(
         tables,
         attempt.address,
@@ -480,7 +483,7 @@
         call.may_have_run_code = code.number
     if not failover.may_retry_failure(tables, call, code, now_ms):
         _finish_failed(tables, call, code, retry_after_ms, now_ms)
-    elif call.attempts_max is not None:
+    elif call.attempts_max is not None or failover.needs_no_budget(code):
         _retry(tables, call, code.name, now_ms)
     else:
         call.stage = models.Stage.RETRY
--- a/fescueyard/management/commands/ctl.py
+++ b/fescueyard/management/commands/ctl.py
@@ -4,6 +4,7 @@
 import json
 import os
 import secrets
+import urllib.parse
 
 import fire
 
@@ -27,8 +28,8 @@
     def get(self, kind, name="", **flags):
         """Show one object, or all objects of a kind.
 
-        :param kind: profile, service, firm, customer, key, route, listener or
-            claim_group.
+        :param kind: profile, service, firm, customer, key, route, listener,
+            claim_group or evacuation.
         :param name: name of the object; all objects when empty.
         """
         path = f"/v1/objects/{kind}"
@@ -132,6 +133,27 @@
         """
         self.retire("key", key_id, **flags)
 
+    @_take_text
+    def evacuate(self, zone, **flags):
+        """Evacuate a zone: send no more requests to its backend servers.
+
+        :param zone: name of the availability zone.
+        """
+        _change_evacuation("PUT", zone, flags)
+
+    @_take_text
+    def end_evacuation(self, zone, **flags):
+        """End the evacuation of a zone; its backend servers are used again.
+
+        :param zone: name of the availability zone.
+        """
+        _change_evacuation("DELETE", zone, flags)
+
+    @_take_text
+    def evacuations(self, **flags):
+        """Show the evacuated zones."""
+        _print_json(_admin_client(flags).read("/v1/evacuations"))
+
     @_take_text
     def status(self, **flags):
         """Show the status of a control process."""
@@ -181,6 +203,11 @@
     _print_json(_admin_client(flags).change(method, path, b"", 0))
 
 
+def _change_evacuation(method, zone, flags):
+    path = f"/v1/evacuations/{urllib.parse.quote(zone, safe='')}"
+    _print_json(_admin_client(flags).change(method, path, b"", 0))
+
+
 def _current_version(api, path):
     try:
         return api.read(path)["version"]
--- a/fescueyard/node/exposition.py
+++ b/fescueyard/node/exposition.py
@@ -2,6 +2,7 @@
 
 from fescueyard.configuration import replica
 from fescueyard.core import exposition
+from fescueyard.routing import evacuation
 from fescueyard.routing import traffic
 
 QUANTILES = (50, 90, 99, 99.9)
@@ -45,4 +46,7 @@
         "configuration_version": tables.configuration.state.version,
         "configuration_age_ms": replica.age_ms(tables.configuration, now_ms),
         "draining": int(tables.draining),
+        "zone_evacuated": int(
+            evacuation.is_evacuated(tables, tables.members.own.zone)
+        ),
     }
--- a/fescueyard/node/pull.py
+++ b/fescueyard/node/pull.py
@@ -11,6 +11,7 @@
 from fescueyard.core import dispatch
 from fescueyard.core import effects
 from fescueyard.core import logs
+from fescueyard.routing import evacuation
 from fescueyard.routing import membership
 
 LOG = logs.ComponentLogger("node")
@@ -69,6 +70,7 @@
             source=sender.peer_id,
             source_age_ms=round(message.age_ms),
         )
+        evacuation.configuration_installed(tables)
     pull = tables.pull
     if replica.age_ms(tables.configuration, now_ms) <= CURRENT_AGE_MAX_MS:
         _record_success(tables, now_ms)
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -10,6 +10,7 @@
 """
 
 from fescueyard.core import effects
+from fescueyard.routing import evacuation
 from fescueyard.routing import models
 from fescueyard.routing import outliers
 from fescueyard.routing import zone_health
@@ -213,15 +214,10 @@
     :param now_ms: the present time.
     :returns: bool.
     """
-    table = tables.members
-    for node_id in table.by_service.get(service, ()):
-        if (
-            node_id not in tried_node_ids
-            and _is_usable(table, node_id, now_ms)
-            and not zone_health.is_silent(tables, table.rows[node_id].zone)
-        ):
-            return True
-    return False
+    return any(
+        node_id not in tried_node_ids
+        for node_id in _usable_nodes(tables, service, now_ms)
+    )
 
 
 def record_load(tables, node_id, load, limit, now_ms):
@@ -249,12 +245,7 @@
 
 def _candidates(tables, service, tried_node_ids, now_ms):
     table = tables.members
-    node_ids = [
-        node_id
-        for node_id in table.by_service.get(service, ())
-        if _is_usable(table, node_id, now_ms)
-        and not zone_health.is_silent(tables, table.rows[node_id].zone)
-    ]
+    node_ids = _usable_nodes(tables, service, now_ms)
     untried = [
         node_id for node_id in node_ids if node_id not in tried_node_ids
     ]
@@ -272,6 +263,23 @@
     return [table.rows[node_id] for node_id in healthy]
 
 
+def _usable_nodes(tables, service, now_ms):
+    """List the nodes whose backend servers may get a request."""
+    table = tables.members
+    return [
+        node_id
+        for node_id in table.by_service.get(service, ())
+        if _is_usable(table, node_id, now_ms)
+        and not _is_excluded(tables, table.rows[node_id].zone, now_ms)
+    ]
+
+
+def _is_excluded(tables, zone, now_ms):
+    return zone_health.is_silent(tables, zone) or evacuation.excludes(
+        tables, zone, now_ms
+    )
+
+
 def _without_limited(tables, node_ids, now_ms):
     """Leave out nodes whose limit is used up, unless none would be left."""
     others = [
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -179,6 +179,9 @@
     :param unreachable: ids of nodes whose stream broke or could not be
         opened; those among them that are reachable again are removed.
     :param zones: ways to the other zones that requests were sent to.
+    :param evacuated_zones: the evacuated zones, sorted, as last logged.
+    :param evacuated_until_ms: until when a zone is left out because one of its
+        nodes reported it as evacuated, by zone.
     :param zones_by_probe: zone of each probe that was sent to find out
         whether a zone responds, since it was last heard.
     :param notices: what backend servers last said of themselves, as
@@ -221,6 +224,10 @@
     )
     unreachable: dict[str, None] = dataclasses.field(default_factory=dict)
     zones: dict[str, ZoneState] = dataclasses.field(default_factory=dict)
+    evacuated_zones: list[str] = dataclasses.field(default_factory=list)
+    evacuated_until_ms: dict[str, float] = dataclasses.field(
+        default_factory=dict
+    )
     zones_by_probe: dict[int, str] = dataclasses.field(default_factory=dict)
     notices: dict[str, server_notices.ServerNotice] = dataclasses.field(
         default_factory=dict
--- a/tests/control/harness.py
+++ b/tests/control/harness.py
@@ -11,6 +11,7 @@
 from fescueyard.consensus import lease
 from fescueyard.consensus import log
 from fescueyard.consensus import models as consensus_models
+from fescueyard.control import evacuations
 from fescueyard.control import storage
 from fescueyard.control import submissions
 from fescueyard.control import systems
@@ -19,6 +20,8 @@
 from fescueyard.core import wire
 
 TICK_MS = 20
+# Zones that the members' settings name.
+ZONES = ("zone-a", "zone-b", "zone-c")
 
 
 class FakeStream:
@@ -138,6 +141,7 @@
             self._policy,
             self._voters_max,
         )
+        self.tables[member_id].zones = list(ZONES)
 
     def crash(self, member_id):
         """Crash a member; its memory is lost and its disk is kept."""
@@ -216,6 +220,17 @@
         self._process_pending(member_id)
         return operation
 
+    def evacuate(self, member_id, zone, evacuated=True):
+        """Send an operator's start or end of an evacuation to a member."""
+        operation = Operation("evacuation", zone, self.now_ms, int(evacuated))
+        command = evacuations.ChangeEvacuation("test", zone, evacuated)
+        origin = control_tables.LocalOrigin(self._register(operation))
+        evacuations.submit(
+            self.tables[member_id], command, origin, self.now_ms
+        )
+        self._process_pending(member_id)
+        return operation
+
     def read(self, member_id, name):
         """Send an operator's read of a firm to a member."""
         operation = Operation("read", name, self.now_ms)
--- a/tests/core/test_dumps.py
+++ b/tests/core/test_dumps.py
@@ -24,7 +24,7 @@
     " control_addresses effects events fleet freshness join_due_ms last_ask_id"
     " members outcomes own pending_asks pending_proposals pending_reads policy"
     " random removed_until_ms repair_due_ms save_failures save_retry_due_ms"
-    " state traffic".split()
+    " state traffic zones".split()
 )
 # Names of fields whose keys differ, at any depth of the tables.
 _INNER_NAMES = set(
--- a/tests/world.py
+++ b/tests/world.py
@@ -210,6 +210,16 @@
         )
         self.cluster._process_pending(leader.consensus.member_id)
 
+    def evacuate(self, zone, evacuated=True):
+        """Start or end the evacuation of a zone.
+
+        :returns: the operation, which later gets the result.
+        """
+        self._sync_control_clock()
+        return self.cluster.evacuate(
+            self.cluster.leader() or "m0", zone, evacuated
+        )
+
     def add_node(
         self,
         name,
