--- a/tests/control/test_app.py
+++ b/tests/control/test_app.py
@@ -1,23 +1,31 @@
 """A message, response or error of a control process, and what it ends."""
 
 import asyncio
+import dataclasses
+import hashlib
+import json
 
 import pytest
 
 from fescueyard.conf import settings
+from fescueyard.configuration import state as states
 from fescueyard.consensus import dispatch as consensus_dispatch
 from fescueyard.consensus import messages as consensus_messages
 from fescueyard.consensus import models as consensus_models
+from fescueyard.control import admin
 from fescueyard.control import app
 from fescueyard.control import storage
 from fescueyard.control import tables as control_tables
 from fescueyard.core import effects
 from fescueyard.core import exceptions
 from fescueyard.core import failures
+from fescueyard.core import http
 from fescueyard.retries import messages as retry_messages
 from fescueyard.routing import messages as routing_messages
 
 ADDRESS = "127.0.0.1:1"
+TOKEN = "t" * 40
+TOKEN_SHA256 = hashlib.sha256(TOKEN.encode()).hexdigest()
 
 
 class Ended(BaseException):
@@ -133,3 +141,39 @@
     with pytest.raises(Ended):
         _on_control(act)
     assert len(ended) == 1
+
+
+# A request for an unknown zone must not depend on there being a leader.
+def test_requests_to_evacuate_a_zone_without_a_leader():
+    def act(process):
+        process._operators = [("asha", TOKEN_SHA256)]
+        process._tables.zones = ["zone-b"]
+        connection = Connection()
+        headers = [http.Header("authorization", f"Bearer {TOKEN}")]
+        for number, zone in enumerate(["zone-a", "zone-b", "zone-x"]):
+            target = f"/v1/evacuations/{zone}"
+            request = http.HttpRequest("PUT", target, headers, b"")
+            process.request_received(number, request, connection)
+        return connection.responses
+
+    assert _on_control(act) == [503, 503, 404]
+
+
+def test_zones_of_the_settings_are_taken_over_when_they_are_read_again():
+    def act(process):
+        process._load_settings = lambda: dataclasses.replace(
+            process.settings, zones=["zone-b"]
+        )
+        process.reload()
+        return process._tables.zones
+
+    assert _on_control(act) == ["zone-b"]
+
+
+def test_status_names_the_evacuated_zones():
+    def act(process):
+        change = states.evacuation_change("asha", "zone-b", True, 0)
+        states.apply_change(process._tables.state, change, 1)
+        return process._local_read_response(admin.ReadStatus(), 0.0).body
+
+    assert json.loads(_on_control(act))["evacuated_zones"] == ["zone-b"]
--- a/tests/management/test_ctl.py
+++ b/tests/management/test_ctl.py
@@ -60,6 +60,15 @@
     assert (version, change_id) == (3, "12")
 
 
+def test_evacuations_are_sent_with_the_zone_encoded(monkeypatch):
+    """A name with a slash must not become another resource."""
+    sent = _run(monkeypatch, "evacuate", "zone/1")
+    assert sent[-1][:2] == ("PUT", "/v1/evacuations/zone%2F1")
+    sent = _run(monkeypatch, "end_evacuation", "007")
+    assert sent[-1][:2] == ("DELETE", "/v1/evacuations/007")
+    assert _run(monkeypatch, "evacuations") == ["/v1/evacuations"]
+
+
 def test_time_limit_holds_over_all_addresses(monkeypatch):
     timeouts_ms = []
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -73,6 +73,16 @@
     assert settings.read_control().founders == []
 
 
+def test_zones_are_read_whatever_their_tables_contain(write):
+    """An operator could not evacuate a zone that no process is known of."""
+    write(TEXT)
+    assert settings.read_control().zones == []
+    zones = "[Network.Zones]\nthrissur-a = [1]\n"
+    write(TEXT + zones + "[Network.Zones.'other zone, b']\nPrefix = 24\n")
+    values = settings.read_control()
+    assert values.zones == ["thrissur-a", "other zone, b"]
+
+
 def test_profile_is_read_from_the_bounds(write):
     write(TEXT)
     profile = settings.read_profile()
