Run nothing on an old copy after a suspension

A node that is resumed after a suspension (SIGSTOP, frozen VM) handles the requests that waited for it, and starts queued ones, before it has asked for the configuration, so it could use its server in a zone that was evacuated meanwhile. It now rejects them as not run while its copy is older than 3 s and no request for a newer one has failed; a node that is cut off has failed requests and goes on. The same check covers a node without a configuration. The excluded zones are looked up once for each choice of candidates.

--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -295,10 +295,6 @@
     backend = tables.runs.backend
     if backend is None or backend.service != forward.service:
         return codes.NO_BACKEND
-    if not tables.configuration.state.cluster_id:
-        # A node that was just started can't know whether its zone is
-        # evacuated.
-        return codes.NO_BACKEND
     if backend.leaving or tables.runs.closed:
         return codes.LEAVING
     if evacuation.is_evacuated(tables, tables.members.own.zone):
@@ -390,6 +386,9 @@
     table = tables.runs
     if table.backend is None or table.backend.leaving:
         return
+    if table.queued_count and evacuation.may_have_missed(tables, now_ms):
+        _reject_queued(tables, codes.NO_BACKEND, now_ms)
+        return
     while limiter.may_start(table.limiter, len(table.running)):
         if not server_limit.may_start(table.server_limit, now_ms):
             _schedule_next_token(tables, now_ms)
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -266,12 +266,15 @@
 def _usable_nodes(tables, service, now_ms):
     """List the nodes whose backend servers may get a request."""
     table = tables.members
-    return [
-        node_id
-        for node_id in table.by_service.get(service, ())
-        if _is_usable(table, node_id, now_ms)
-        and not _is_excluded(tables, table.rows[node_id].zone, now_ms)
-    ]
+    excluded_by_zone = {}
+    usable = []
+    for node_id in table.by_service.get(service, ()):
+        zone = table.rows[node_id].zone
+        if zone not in excluded_by_zone:
+            excluded_by_zone[zone] = _is_excluded(tables, zone, now_ms)
+        if not excluded_by_zone[zone] and _is_usable(table, node_id, now_ms):
+            usable.append(node_id)
+    return usable
 
 
 def _is_excluded(tables, zone, now_ms):
--- a/fescueyard/routing/evacuation.py
+++ b/fescueyard/routing/evacuation.py
@@ -12,6 +12,7 @@
 import dataclasses
 
 from fescueyard.configuration import models as configuration_models
+from fescueyard.configuration import replica
 from fescueyard.configuration import state as states
 from fescueyard.core import logs
 
@@ -19,6 +20,10 @@
 
 # Longer than the interval of the configuration pull, 500 to 700 ms.
 REPORT_TTL_MS = 1_000
+# Unless a request has failed, a copy gets no older than the interval of the
+# pull, the time limit of a request (250 ms) and the age that the source
+# reports (600 ms) together. An evacuation is in force within 5 s.
+SUSPENDED_AGE_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +44,25 @@
     return zone in evacuated
 
 
+def may_have_missed(tables, now_ms):
+    """Return whether this node may have missed the evacuation of its zone.
+
+    A process that was suspended resumes with an old copy and the requests that
+    were waiting for it. It knows more once its next request to a control
+    process is responded to. A node that is cut off has failed requests
+    instead, and goes by the copy that it has.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: bool; True as well before the first configuration.
+    """
+    if not tables.configuration.state.cluster_id:
+        return True
+    if tables.pull.failures:
+        return False
+    return replica.age_ms(tables.configuration, now_ms) > SUSPENDED_AGE_MS
+
+
 def excludes(tables, zone, now_ms):
     """Return whether no request is to be sent to the servers of a zone.
 
--- a/tests/routing/test_evacuation.py
+++ b/tests/routing/test_evacuation.py
@@ -296,3 +296,51 @@
     assert _statuses(served) == {200}
     assert node.tables.metrics.counters["runs_no_backend"]
     assert not any(run.node_name == node.name for run in world.runs)
+
+
+def _suspend_while_evacuated(world, name, calls):
+    """Suspend a node, evacuate its zone, and resume it later."""
+    running = _runs_in(world, ZONE_A, 0)
+    _evacuate(world, ZONE_A)
+    world.run(IN_FORCE_MS + 1_000)
+    world.thaw(name)
+    world.run(5_000)
+    assert _runs_in(world, ZONE_A, 0) == running
+    assert _statuses(calls) == {200}
+
+
+def test_suspended_node_starts_nothing_from_its_queue():
+    """A run that completed meanwhile would make room for the next one."""
+    world = _start_fleet(per_zone=1, slots=2)
+    setups.put_route(world, "b", "orders", public=True, timeout_ms=3e4)
+    world.run(1_000)
+    name = f"orders-{ZONE_A}"
+
+    def send(_):
+        return world.call(name, "/b/x?ms=1000", host="fleet.example")
+
+    calls = _fill_queue(world, name, send)
+    world.freeze(name)
+    _suspend_while_evacuated(world, name, calls)
+
+
+def test_suspended_node_runs_nothing_that_has_waited_for_it():
+    """Callers' requests are read before its copy is brought up to date."""
+    world = _start_fleet(per_zone=1)
+    name = f"orders-{ZONE_A}"
+    world.freeze(name)
+    calls = [_send(world, name) for _ in range(3)]
+    _suspend_while_evacuated(world, name, calls)
+
+
+def test_node_that_is_cut_off_uses_its_server_by_the_copy_it_has():
+    """Its old copy must not be taken for that of a suspended process."""
+    world = _start_fleet()
+    world.isolate_zone(ZONE_B)
+    world.run(8_000)
+    calls = []
+    for _ in range(50):
+        calls.append(_send(world, f"orders-{ZONE_B}"))
+        world.run(20)
+    world.run(500)
+    assert _statuses(calls) == {200}
