--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -4,13 +4,16 @@
 import secrets
 
 from fescueyard.conf import settings as conf_settings
+from fescueyard.configuration import state as states
 from fescueyard.consensus import elections
 from fescueyard.consensus import log
 from fescueyard.consensus import models as consensus_models
 from fescueyard.control import admin
 from fescueyard.control import bootstrap
+from fescueyard.control import evacuations
 from fescueyard.control import exposition
 from fescueyard.control import storage as storages
+from fescueyard.control import submissions
 from fescueyard.control import systems
 from fescueyard.control import tables as control_tables
 from fescueyard.core import addresses
@@ -36,6 +39,12 @@
 STOP_TIMEOUT_S = 5.0
 STORAGE_RETRY_S = 0.5
 ADMIN_BODY_BYTES_MAX = 16 * 1024 * 1024
+# Reads that wait until the state has every change accepted before them.
+_FRESH_READS = (
+    admin.ReadObjects,
+    admin.ReadDocument,
+    evacuations.ReadEvacuations,
+)
 
 
 class ControlProcess:
@@ -85,6 +94,7 @@
         self._tables.members.saves_cross_zone = zone_relays.is_scarce(
             settings.link_mbps
         )
+        self._tables.zones = settings.zones
         secret = conf_settings.read_secret(
             settings.cluster_secret,
             settings.cluster_secret_file,
@@ -148,6 +158,7 @@
             return
         self.settings = settings
         self._tables.control_addresses = settings.control_addresses
+        self._tables.zones = settings.zones
         self._tables.members.seeds = list(settings.control_addresses)
         self._tables.members.saves_cross_zone = zone_relays.is_scarce(
             settings.link_mbps
@@ -219,16 +230,20 @@
         self._commands[exchange_id] = command
         origin = control_tables.LocalOrigin(exchange_id)
         if isinstance(command, admin.ChangeObject):
-            systems.submit_change(self._tables, command.change, origin, now_ms)
+            submissions.submit_change(
+                self._tables, command.change, origin, now_ms
+            )
         elif isinstance(command, admin.ApplyDocument):
-            systems.submit_document(
+            submissions.submit_document(
                 self._tables, command.change, origin, now_ms
             )
         elif isinstance(command, admin.ChangeMember):
-            systems.submit_members_change(
+            submissions.submit_members_change(
                 self._tables, command.member_id, command.add, origin, now_ms
             )
-        elif isinstance(command, (admin.ReadObjects, admin.ReadDocument)):
+        elif isinstance(command, evacuations.ChangeEvacuation):
+            evacuations.submit(self._tables, command, origin, now_ms)
+        elif isinstance(command, _FRESH_READS):
             systems.submit_read(self._tables, exchange_id, now_ms)
         else:
             self._respond(
@@ -306,6 +321,7 @@
                 "term": consensus_table.vote.term,
                 "version": tables.state.version,
                 "age_ms": age_ms if age_ms < 1e12 else None,
+                "evacuated_zones": states.evacuated_zones(tables.state),
                 "streams": self._stream_pool.stream_count(),
             },
         )
@@ -402,6 +418,7 @@
             order=outcome.exchange_id,
             status=response.status,
             in_force=self._tables.state.applied_document.number,
+            evacuated=states.evacuated_zones(self._tables.state),
             age_ms=_round_finite(
                 systems.state_age_ms(self._tables, clock.now_ms())
             ),
@@ -418,6 +435,10 @@
             return None
         if isinstance(command, admin.ReadDocument):
             return self._interface.document_response(self._tables.state)
+        if isinstance(command, evacuations.ReadEvacuations):
+            return admin.json_response(
+                200, evacuations.listing(self._tables.state)
+            )
         return admin.objects_response(self._tables.state, command)
 
     def _log_role(self):
--- a/fescueyard/node/pull.py
+++ b/fescueyard/node/pull.py
@@ -18,6 +18,7 @@
 from fescueyard.core import dispatch
 from fescueyard.core import effects
 from fescueyard.core import logs
+from fescueyard.routing import evacuation
 from fescueyard.routing import membership
 from fescueyard.routing import models as routing_models
 from fescueyard.routing import zone_relays
@@ -88,6 +89,7 @@
             source=sender.peer_id,
             source_age_ms=round(message.age_ms),
         )
+        evacuation.configuration_installed(tables)
     pull = tables.pull
     if replica.age_ms(tables.configuration, now_ms) <= CURRENT_AGE_MAX_MS:
         _record_success(tables, now_ms)
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -10,6 +10,7 @@
 """
 
 from fescueyard.core import effects
+from fescueyard.routing import evacuation
 from fescueyard.routing import models
 from fescueyard.routing import outliers
 from fescueyard.routing import zone_health
@@ -213,15 +214,10 @@
     :param now_ms: the present time.
     :returns: bool.
     """
-    table = tables.members
-    for node_id in table.by_service.get(service, ()):
-        if (
-            node_id not in tried_node_ids
-            and _is_usable(table, node_id, now_ms)
-            and not zone_health.is_silent(tables, table.rows[node_id].zone)
-        ):
-            return True
-    return False
+    return any(
+        node_id not in tried_node_ids
+        for node_id in _usable_nodes(tables, service, now_ms)
+    )
 
 
 def record_load(tables, node_id, load, limit, now_ms):
@@ -257,12 +253,7 @@
     :returns: list of :class:`~fescueyard.routing.messages.Member`.
     """
     table = tables.members
-    node_ids = [
-        node_id
-        for node_id in table.by_service.get(service, ())
-        if _is_usable(table, node_id, now_ms)
-        and not zone_health.is_silent(tables, table.rows[node_id].zone)
-    ]
+    node_ids = _usable_nodes(tables, service, now_ms)
     untried = [
         node_id for node_id in node_ids if node_id not in tried_node_ids
     ]
@@ -280,6 +271,26 @@
     return [table.rows[node_id] for node_id in healthy]
 
 
+def _usable_nodes(tables, service, now_ms):
+    """List the nodes whose backend servers may get a request."""
+    table = tables.members
+    excluded_by_zone = {}
+    usable = []
+    for node_id in table.by_service.get(service, ()):
+        zone = table.rows[node_id].zone
+        if zone not in excluded_by_zone:
+            excluded_by_zone[zone] = _is_excluded(tables, zone, now_ms)
+        if not excluded_by_zone[zone] and _is_usable(table, node_id, now_ms):
+            usable.append(node_id)
+    return usable
+
+
+def _is_excluded(tables, zone, now_ms):
+    return zone_health.is_silent(tables, zone) or evacuation.excludes(
+        tables, zone, now_ms
+    )
+
+
 def exclusion_reason(tables, member, now_ms):
     """Return why a backend server is not a candidate.
 
@@ -294,6 +305,8 @@
         return "leaving" if member.status == models.ALIVE else member.status
     if zone_health.is_silent(tables, member.zone):
         return "zone_silent"
+    if evacuation.excludes(tables, member.zone, now_ms):
+        return "zone_evacuated"
     target = table.targets[member.node_id]
     if now_ms < target.refusing_until_ms:
         return "refusing"
