Limit the requests that a cold backend server gets

Services may name a cold rate (ColdStartS, ColdPerS). A token bucket at the server's own node then holds all nodes to that rate while the server is cold. It counts as cold by its heartbeats, by X-Cold-Ms of its health responses, and from each sign that another process may run (a broken or refused connection, a start of the node, a node that was not scheduled for 250 ms) until a health response to a later request says otherwise. Without one, until the cold time after its first response has passed, or a heartbeat arrives 5 s later. The bucket of a server's own limit moved to token_bucket.py and is shared.

--- a/fescueyard/admission/announcements.py
+++ b/fescueyard/admission/announcements.py
@@ -27,7 +27,8 @@
         not reported.
     :param sequence: increases with each announcement of one process.
     :param leaving: whether it has stopped accepting new work.
-    :param cold_ms: remaining time of its slow start, in ms.
+    :param cold_ms: remaining time of its slow start, in ms; None when not
+        reported.
     :param born_max_ms: time of day, in ms, at which its process ran already;
         an upper bound of a start time that is not reported.
     """
@@ -39,7 +40,7 @@
     born_ms: int
     sequence: int
     leaving: bool
-    cold_ms: float
+    cold_ms: float | None
     born_max_ms: int = 0
 
 
@@ -97,3 +98,38 @@
     if announcement.instance != known.instance:
         return False
     return announcement.sequence < known.sequence
+
+
+def log_fields(announcement):
+    """Return the fields of a log line about an announcement.
+
+    :param announcement: :class:`Announcement`.
+    :returns: dict.
+    """
+    return {
+        "instance": announcement.instance,
+        "service": announcement.service,
+        "slots": announcement.slots,
+        "born_ms": announcement.born_ms,
+        "sequence": announcement.sequence,
+        "leaving": announcement.leaving,
+        "cold_ms": round(announcement.cold_ms or 0),
+    }
+
+
+def outdated_fields(announcement, known):
+    """Return the fields of a log line about an outdated announcement.
+
+    :param announcement: :class:`Announcement`.
+    :param known: the :class:`~fescueyard.admission.models.Backend` that
+        outranks it.
+    :returns: dict.
+    """
+    return {
+        "instance": announcement.instance,
+        "born_ms": announcement.born_ms,
+        "sequence": announcement.sequence,
+        "known": known.instance,
+        "known_born_ms": known.born_ms,
+        "known_sequence": known.sequence,
+    }
--- a/fescueyard/admission/discovery.py
+++ b/fescueyard/admission/discovery.py
@@ -52,7 +52,7 @@
                 0,
                 0,
                 False,
-                0.0,
+                None,
                 born_max_ms=unix_ms,
             )
     return None
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fescueyard.admission import announcements
+from fescueyard.admission import cold_limit as cold_limits
 from fescueyard.admission import concurrency_share
 from fescueyard.admission import messages
 from fescueyard.admission import outcomes
@@ -155,6 +156,9 @@
         they leave: the time of day, in ms, at which they ran, by their id.
     :param outcome_counts: recent runs and failures of the backend server.
     :param server_limit: the limit that the backend server has named.
+    :param cold_limit: the limit that holds while it is cold.
+    :param token_wakeup_at_ms: when the queue is looked at again, as a limit
+        may let a run start.
     """
 
     rows: dict[int, Run] = dataclasses.field(default_factory=dict)
@@ -186,4 +190,8 @@
     server_limit: server_limits.ServerLimit = dataclasses.field(
         default_factory=server_limits.ServerLimit
     )
+    cold_limit: cold_limits.ColdLimit = dataclasses.field(
+        default_factory=cold_limits.ColdLimit
+    )
+    token_wakeup_at_ms: float = float("-inf")
     fairness: FairnessTable = dataclasses.field(default_factory=FairnessTable)
--- a/fescueyard/admission/registration.py
+++ b/fescueyard/admission/registration.py
@@ -9,6 +9,7 @@
 import dataclasses
 
 from fescueyard.admission import announcements
+from fescueyard.admission import cold_limit
 from fescueyard.admission import limiter
 from fescueyard.admission import models
 from fescueyard.admission import outcomes
@@ -123,20 +124,30 @@
     table = tables.runs
     backend = table.backend
     if _left_before(table, announcement):
-        LOG.info("announcement_of_left", **_log_fields(announcement))
+        LOG.info(
+            "announcement_of_left", **announcements.log_fields(announcement)
+        )
         return
+    cold_ms = announcement.cold_ms
+    cold_limit.record_heartbeat(table.cold_limit, cold_ms, False, now_ms)
     is_same_process = announcements.is_same_process(backend, announcement)
     if not is_same_process and _is_of_unknown_service(tables, announcement):
-        LOG.info("announcement_of_no_service", **_log_fields(announcement))
+        LOG.info(
+            "announcement_of_no_service",
+            **announcements.log_fields(announcement),
+        )
         return
     if announcements.is_outdated(backend, announcement):
         if not _has_returned(table, announcement, ttl_ms, now_ms):
-            _log_outdated(backend, announcement)
+            LOG.info(
+                "announcement_outdated",
+                **announcements.outdated_fields(announcement, backend),
+            )
             return
         LOG.info(
             "backend_returned",
             known=backend.instance,
-            **_log_fields(announcement),
+            **announcements.log_fields(announcement),
         )
     if _must_be_confirmed(tables, announcement):
         _hold(table, announcement, ttl_ms, now_ms)
@@ -144,10 +155,12 @@
     table.held_announcement = None
     if is_same_process and backend.says_leaving and not announcement.leaving:
         # Only a later process may register.
-        LOG.info("announcement_of_left", **_log_fields(announcement))
+        LOG.info(
+            "announcement_of_left", **announcements.log_fields(announcement)
+        )
         return
     if not is_same_process or backend.leaving or announcement.leaving:
-        LOG.info("backend_announced", **_log_fields(announcement))
+        LOG.info("backend_announced", **announcements.log_fields(announcement))
     if announcement.leaving:
         _apply_leaving(tables, announcement, now_ms)
     else:
@@ -159,7 +172,7 @@
             ttl_ms,
             now_ms,
             is_new_process=not is_same_process,
-            cold_ms=announcement.cold_ms,
+            cold_ms=cold_ms or 0.0,
         )
     table.backend.instance = announcement.instance
     table.backend.born_ms = announcement.born_ms
@@ -167,7 +180,8 @@
     table.backend.announced_at_ms = now_ms
     table.backend.sequence = announcement.sequence
     table.backend.connect_failures = 0
-    _update_cold_until(tables, announcement.cold_ms, now_ms)
+    cold_limit.record_heartbeat(table.cold_limit, cold_ms, True, now_ms)
+    update_cold_until(tables, cold_ms or 0.0, now_ms)
 
 
 def _is_of_unknown_service(tables, announcement):
@@ -228,31 +242,6 @@
     drain_backend(tables, now_ms)
 
 
-def _log_outdated(backend, announcement):
-    LOG.info(
-        "announcement_outdated",
-        instance=announcement.instance,
-        born_ms=announcement.born_ms,
-        sequence=announcement.sequence,
-        known=backend.instance,
-        known_born_ms=backend.born_ms,
-        known_sequence=backend.sequence,
-    )
-
-
-def _log_fields(announcement):
-    """Return the fields of a log line about an announcement."""
-    return {
-        "instance": announcement.instance,
-        "service": announcement.service,
-        "slots": announcement.slots,
-        "born_ms": announcement.born_ms,
-        "sequence": announcement.sequence,
-        "leaving": announcement.leaving,
-        "cold_ms": round(announcement.cold_ms),
-    }
-
-
 def _must_be_confirmed(tables, announcement):
     """Return whether an announcement may be late, from before a restart."""
     table = tables.runs
@@ -298,11 +287,15 @@
     apply_announcement(tables, announcement, ttl_ms, now_ms)
 
 
-def _update_cold_until(tables, cold_ms, now_ms):
+def update_cold_until(tables, cold_ms, now_ms):
     """Set the end of the slow start; publish it if it is much later.
 
     An end that has passed counts as the present, so the announcements of a
     warm backend server publish nothing.
+
+    :param tables: the node's tables.
+    :param cold_ms: remaining time of the slow start, in ms.
+    :param now_ms: the present time.
     """
     backend = tables.runs.backend
     known_ms = max(backend.cold_until_ms or now_ms, now_ms)
@@ -442,6 +435,7 @@
     if accepted:
         return
     LOG.warning("backend_crashed", runs=len(awaiting_probe))
+    cold_limit.record_break(table.cold_limit, "probe_refused", now_ms)
     for forward in awaiting_probe:
         quarantine.record_crash(tables, forward, now_ms)
     if table.backend is not None:
--- a/fescueyard/admission/server_limit.py
+++ b/fescueyard/admission/server_limit.py
@@ -13,13 +13,12 @@
 import dataclasses
 import math
 
+from fescueyard.admission import token_bucket
 from fescueyard.core import logs
 from fescueyard.core import notices
 
 LOG = logs.ComponentLogger("admission")
 
-# Time over which unused requests of the limit are saved up.
-BURST_MS = 250
 # A server that takes nothing still gets a few requests, as only its responses
 # can say that the limit has ended.
 RATE_MIN_PER_S = 0.5
@@ -35,19 +34,17 @@
     """State of the limit of one backend server.
 
     :param rate_per_s: the limit; None while the server names none.
-    :param tokens: requests that may start now.
-    :param refilled_at_ms: time as of which ``tokens`` holds.
+    :param bucket: the requests that it allows.
     :param named_at_ms: when a response last named the limit.
     :param heard: whether this node has had a response of the server.
-    :param wakeup_at_ms: when the queue is looked at again for a free token.
     """
 
     rate_per_s: float | None = None
-    tokens: float = 0.0
-    refilled_at_ms: float = 0.0
+    bucket: token_bucket.TokenBucket = dataclasses.field(
+        default_factory=token_bucket.TokenBucket
+    )
     named_at_ms: float = float("-inf")
     heard: bool = False
-    wakeup_at_ms: float = float("-inf")
 
 
 def record_notice(limit, notice, run_started_at_ms, now_ms):
@@ -97,8 +94,8 @@
     """
     if limit.rate_per_s is None:
         return True
-    _refill(limit, now_ms)
-    return limit.tokens >= 1.0
+    token_bucket.refill(limit.bucket, _rate_per_s(limit), now_ms)
+    return limit.bucket.tokens >= 1.0
 
 
 def record_start(limit, now_ms):
@@ -108,8 +105,8 @@
     :param now_ms: the present time.
     """
     if limit.rate_per_s is not None:
-        _refill(limit, now_ms)
-        limit.tokens -= 1.0
+        token_bucket.refill(limit.bucket, _rate_per_s(limit), now_ms)
+        limit.bucket.tokens -= 1.0
 
 
 def wait_ms(limit, ahead_count, now_ms):
@@ -122,9 +119,9 @@
     """
     if limit.rate_per_s is None:
         return 0.0
-    _refill(limit, now_ms)
-    missing = ahead_count + 1 - limit.tokens
-    return max(0.0, missing) * 1000 / _rate_per_s(limit)
+    return token_bucket.wait_ms(
+        limit.bucket, _rate_per_s(limit), ahead_count, now_ms
+    )
 
 
 def wait_max_ms(objective_ms, may_wait):
@@ -161,17 +158,6 @@
     return max(RATE_MIN_PER_S, limit.rate_per_s)
 
 
-def _burst(limit):
-    return max(1.0, _rate_per_s(limit) * BURST_MS / 1000)
-
-
-def _refill(limit, now_ms):
-    elapsed_ms = now_ms - limit.refilled_at_ms
-    limit.refilled_at_ms = now_ms
-    limit.tokens += _rate_per_s(limit) * elapsed_ms / 1000
-    limit.tokens = min(_burst(limit), limit.tokens)
-
-
 def _change(limit, rate_per_s, basis, now_ms):
     if rate_per_s == limit.rate_per_s:
         return
@@ -183,6 +169,5 @@
     )
     if limit.rate_per_s is None:
         # The requests of the last moments were sent without a limit.
-        limit.tokens = 0.0
-        limit.refilled_at_ms = now_ms
+        limit.bucket = token_bucket.TokenBucket(0.0, now_ms)
     limit.rate_per_s = rate_per_s
--- /dev/null
+++ b/fescueyard/admission/start_limits.py
@@ -0,0 +1,263 @@
+"""How many requests per second may start at this VM's backend server.
+
+Combines the limit that the server names (:mod:`server_limit`) with the one
+that holds while it is cold (:mod:`cold_limit`).
+"""
+
+import dataclasses
+
+from fescueyard.admission import cold_limit
+from fescueyard.admission import registration
+from fescueyard.admission import server_limit
+from fescueyard.admission import token_bucket
+from fescueyard.configuration import models as configuration_models
+from fescueyard.core import codes
+from fescueyard.core import effects
+from fescueyard.core import notices
+from fescueyard.core import timers
+
+# Until a restarted node has its first copy of the configuration, it doesn't
+# know the limit of a cold server.
+UNCONFIGURED_RATE_PER_S = 2.0
+UNCONFIGURED_COLD_START_MS = 5_000
+# Results of runs after which another process may listen at the address.
+BREAK_CODES = frozenset(
+    {
+        codes.BACKEND_FAILED,
+        codes.CONNECT_FAILED,
+        codes.SHORT_ANSWER,
+        codes.WRONG_INSTANCE,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class StartTokenDue:
+    """Event: a limit of the backend server may let a queued run start."""
+
+
+def cold_rate_per_s(tables):
+    """Return the rate that this VM's backend server takes while it is cold.
+
+    :param tables: the node's tables.
+    :returns: requests per second; 0 for no limit.
+    """
+    service = _own_service(tables)
+    if service is not None:
+        return service.cold_rate_per_s
+    return UNCONFIGURED_RATE_PER_S if _is_unconfigured(tables) else 0.0
+
+
+def is_limited(tables, now_ms):
+    """Return whether a rate limits what the backend server takes.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    if tables.runs.server_limit.rate_per_s is not None:
+        return True
+    return _is_cold(tables, now_ms)
+
+
+def cold_state(tables, now_ms):
+    """Return whether the backend server counts as cold, as a metric.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: 1 or 0.
+    """
+    return int(_is_cold(tables, now_ms))
+
+
+def may_start(tables, now_ms):
+    """Return whether one more request may start; ask the server if unsure.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    table = tables.runs
+    rate_per_s = cold_rate_per_s(tables)
+    if rate_per_s and table.queued_count:
+        _query_health_if_due(tables, rate_per_s, now_ms)
+    return server_limit.may_start(
+        table.server_limit, now_ms
+    ) and cold_limit.may_start(table.cold_limit, rate_per_s, now_ms)
+
+
+def record_start(tables, now_ms):
+    """Count a request that is sent to the backend server.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    server_limit.record_start(table.server_limit, now_ms)
+    rate_per_s = cold_rate_per_s(tables)
+    cold_limit.record_start(table.cold_limit, rate_per_s, now_ms)
+
+
+def wait_ms(tables, ahead_count, now_ms):
+    """Return how long the limits hold a request back.
+
+    :param tables: the node's tables.
+    :param ahead_count: requests that start before it.
+    :param now_ms: the present time.
+    :returns: ms; 0 without a limit.
+    """
+    table = tables.runs
+    rate_per_s = cold_rate_per_s(tables)
+    return max(
+        server_limit.wait_ms(table.server_limit, ahead_count, now_ms),
+        cold_limit.wait_ms(table.cold_limit, rate_per_s, ahead_count, now_ms),
+    )
+
+
+def is_held_back(tables, run, ahead_count, now_ms):
+    """Return whether the limits hold a queued run back too long.
+
+    :param tables: the node's tables.
+    :param run: :class:`~fescueyard.admission.models.Run`.
+    :param ahead_count: requests that start before it.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    wait_max_ms = server_limit.wait_max_ms(
+        run.forward.objective_ms, run.forward.may_wait
+    )
+    waited_ms = now_ms - run.queued_at_ms
+    left_ms = wait_ms(tables, ahead_count, now_ms)
+    return left_ms > 0 and waited_ms + left_ms > wait_max_ms
+
+
+def schedule_next_token(tables, now_ms):
+    """Look at the queue again when the limits allow a start.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    if not table.queued_count or table.token_wakeup_at_ms > now_ms:
+        return
+    table.token_wakeup_at_ms = now_ms + wait_ms(tables, 0, now_ms)
+    timers.schedule(tables.timers, table.token_wakeup_at_ms, StartTokenDue())
+
+
+def record_result(tables, run, response, code, now_ms):
+    """Record what the result of a run tells of the server's process.
+
+    :param tables: the node's tables.
+    :param run: :class:`~fescueyard.admission.models.Run`.
+    :param response: its response, or None.
+    :param code: its result code.
+    :param now_ms: the present time.
+    """
+    if code in BREAK_CODES:
+        record_break(tables, code.name, now_ms)
+    elif response is not None:
+        service = _own_service(tables)
+        cold_limit.record_response(
+            tables.runs.cold_limit,
+            run.started_at_ms,
+            service.cold_start_ms if service else UNCONFIGURED_COLD_START_MS,
+            now_ms,
+        )
+
+
+def record_break(tables, reason, now_ms):
+    """Record a sign that another process may listen at the server's address.
+
+    :param tables: the node's tables.
+    :param reason: what was seen, for the log.
+    :param now_ms: the present time.
+    """
+    cold_limit.record_break(tables.runs.cold_limit, reason, now_ms)
+    _report(tables, now_ms)
+
+
+def record_health_request(tables, now_ms):
+    """Count a request for the health path of the backend server.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: number to pass on with its response.
+    """
+    limit = tables.runs.cold_limit
+    rate_per_s = cold_rate_per_s(tables)
+    cold_limit.record_health_request(limit, rate_per_s, now_ms)
+    return limit.break_count
+
+
+def handle_health_response(tables, response, break_count, now_ms):
+    """Apply what a health response says of how long the server is cold.
+
+    :param tables: the node's tables.
+    :param response: :class:`~fescueyard.core.http.HttpResponse`, or None.
+    :param break_count: what :func:`record_health_request` returned.
+    :param now_ms: the present time.
+    """
+    if response is None:
+        record_break(tables, "health_request_failed", now_ms)
+        return
+    cold_ms = notices.parse_cold_ms(response.headers, tables.interface.names)
+    if not cold_limit.record_health_response(
+        tables.runs.cold_limit, cold_ms, break_count, now_ms
+    ):
+        return
+    if tables.runs.backend is not None:
+        registration.update_cold_until(tables, cold_ms, now_ms)
+    _report(tables, now_ms)
+    tables.events.append(StartTokenDue())
+
+
+def tick(tables, now_ms):
+    """Notice that the node was not scheduled, and log changes.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    """
+    limit = tables.runs.cold_limit
+    cold_limit.tick(limit, now_ms)
+    rate_per_s = cold_rate_per_s(tables)
+    if rate_per_s:
+        token_bucket.refill(limit.bucket, rate_per_s, now_ms)
+        _report(tables, now_ms)
+
+
+def _is_cold(tables, now_ms):
+    return bool(cold_rate_per_s(tables)) and cold_limit.is_cold(
+        tables.runs.cold_limit, now_ms
+    )
+
+
+def _own_service(tables):
+    return tables.configuration.state.find(
+        configuration_models.Kind.SERVICE, tables.own_service()
+    )
+
+
+def _is_unconfigured(tables):
+    services = tables.configuration.state.objects[
+        configuration_models.Kind.SERVICE
+    ]
+    return tables.routed and not services
+
+
+def _report(tables, now_ms):
+    cold_limit.report(tables.runs.cold_limit, cold_rate_per_s(tables), now_ms)
+
+
+def _query_health_if_due(tables, rate_per_s, now_ms):
+    service = _own_service(tables)
+    backend = tables.runs.backend
+    limit = tables.runs.cold_limit
+    if service is None or not service.health_path or backend is None:
+        return
+    if cold_limit.may_query_health(limit, now_ms):
+        break_count = record_health_request(tables, now_ms)
+        tables.effects.append(
+            effects.QueryHealth(
+                backend.address, service.health_path, break_count
+            )
+        )
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -17,6 +17,7 @@
 from fescueyard.admission import registration
 from fescueyard.admission import run_headers
 from fescueyard.admission import server_limit
+from fescueyard.admission import start_limits
 from fescueyard.configuration import models as configuration_models
 from fescueyard.core import codes
 from fescueyard.core import dispatch
@@ -69,11 +70,6 @@
     run_id: int
 
 
-@dataclasses.dataclass(slots=True)
-class ServerTokenDue:
-    """Event: the limit of the backend server may let a queued run start."""
-
-
 def accept(tables, forward, peer_id, stream, now_ms):
     """Accept a request for the backend server: run, queue or reject it.
 
@@ -153,6 +149,7 @@
         tables.metrics.count("late_backend_answers")
         return
     crash_id = ""
+    start_limits.record_result(tables, run, response, code, now_ms)
     if run.backend is table.backend:
         registration.record_connect_result(tables, code, now_ms)
         if notice is not None:
@@ -222,7 +219,7 @@
     """
     table = tables.runs
     longest_wait_ms = 0.0
-    if table.queued_count and table.server_limit.rate_per_s is None:
+    if table.queued_count and not start_limits.is_limited(tables, now_ms):
         oldest_queued_at_ms = min(
             table.rows[next(iter(run_ids))].queued_at_ms
             for by_customer in table.queued.values()
@@ -263,7 +260,7 @@
 
 
 @dispatch.handle.register
-def _handle_server_token(event: ServerTokenDue, tables, now_ms):
+def _handle_start_token(event: start_limits.StartTokenDue, tables, now_ms):
     _start_eligible_runs(tables, now_ms)
 
 
@@ -322,7 +319,7 @@
     if run.run_id not in table.rows or run.started_at_ms is not None:
         return
     ahead_count = queueing.count_ahead(table, run.forward.priority) - 1
-    if _is_held_back(table, run, ahead_count, now_ms):
+    if start_limits.is_held_back(tables, run, ahead_count, now_ms):
         _reject(tables, run, codes.SERVER_LIMITED, now_ms)
         return
     if not _can_meet_deadline(tables, run, ahead_count, now_ms):
@@ -342,23 +339,13 @@
         victim = queueing.choose_eviction_victim(table)
         ahead_count = table.queued_count - 1
         code = codes.EVICTED
-        if _is_held_back(table, victim, ahead_count, now_ms):
+        if start_limits.is_held_back(tables, victim, ahead_count, now_ms):
             code = codes.SERVER_LIMITED
         elif _can_meet_deadline(tables, victim, ahead_count, now_ms):
             return
         _reject(tables, victim, code, now_ms)
 
 
-def _is_held_back(table, run, ahead_count, now_ms):
-    """Return whether the server's limit holds a queued run back too long."""
-    wait_max_ms = server_limit.wait_max_ms(
-        run.forward.objective_ms, run.forward.may_wait
-    )
-    waited_ms = now_ms - run.queued_at_ms
-    wait_ms = server_limit.wait_ms(table.server_limit, ahead_count, now_ms)
-    return wait_ms > 0 and waited_ms + wait_ms > wait_max_ms
-
-
 def _can_meet_deadline(tables, run, ahead_count, now_ms):
     concurrency_limiter = tables.runs.limiter
     expected_ms = limiter.estimate_wait_ms(concurrency_limiter, ahead_count)
@@ -373,8 +360,8 @@
     if table.backend is None or table.backend.leaving:
         return
     while limiter.may_start(table.limiter, len(table.running)):
-        if not server_limit.may_start(table.server_limit, now_ms):
-            _schedule_next_token(tables, now_ms)
+        if not start_limits.may_start(tables, now_ms):
+            start_limits.schedule_next_token(tables, now_ms)
             return
         run = queueing.next_to_start(
             table,
@@ -394,15 +381,6 @@
             _start_run(tables, run, now_ms)
 
 
-def _schedule_next_token(tables, now_ms):
-    """Look at the queue again when the server's limit allows a start."""
-    limit = tables.runs.server_limit
-    if not tables.runs.queued_count or limit.wakeup_at_ms > now_ms:
-        return
-    limit.wakeup_at_ms = now_ms + server_limit.wait_ms(limit, 0, now_ms)
-    timers.schedule(tables.timers, limit.wakeup_at_ms, ServerTokenDue())
-
-
 def _is_too_late_to_start(table, run, now_ms):
     usual_ms = limiter.estimate_service_ms(table.limiter, run.forward.priority)
     return now_ms + REMAINING_TIME_SHARE_MIN * usual_ms > run.deadline_at_ms
@@ -429,9 +407,9 @@
     queueing.remove(table, run)
     run.started_at_ms = now_ms
     run.backend = table.backend
-    server_limit.record_start(table.server_limit, now_ms)
+    start_limits.record_start(tables, now_ms)
     measurement.record_start(
-        tables.pressure.backend, _pressing_wait_ms(table, run, now_ms)
+        tables.pressure.backend, _pressing_wait_ms(tables, run, now_ms)
     )
     entry.record_run(tables.pressure, now_ms)
     run.token = f"{tables.secure_random.getrandbits(TOKEN_BITS):x}"
@@ -465,13 +443,13 @@
     )
 
 
-def _pressing_wait_ms(table, run, now_ms):
+def _pressing_wait_ms(tables, run, now_ms):
     """Return the wait of a run that tells of too little capacity.
 
-    While the server has named a limit, its queue says nothing about the other
+    While the server's rate is limited, its queue says nothing about the other
     servers of its service, which have room for what is rejected here.
     """
-    if table.server_limit.rate_per_s is not None:
+    if start_limits.is_limited(tables, now_ms):
         return 0.0
     return now_ms - run.queued_at_ms
 
@@ -583,7 +561,7 @@
     table = tables.runs
     drain_ms = max(
         limiter.estimate_wait_ms(table.limiter, table.queued_count),
-        server_limit.wait_ms(table.server_limit, table.queued_count, now_ms),
+        start_limits.wait_ms(tables, table.queued_count, now_ms),
     )
     base_ms = min(max(drain_ms, RETRY_AFTER_MIN_MS), RETRY_AFTER_MAX_MS)
     return base_ms * (1 + RETRY_AFTER_JITTER_SHARE * tables.random.random())
--- a/fescueyard/configuration/models.py
+++ b/fescueyard/configuration/models.py
@@ -20,8 +20,10 @@
 PositiveInt = typing.Annotated[int, pydantic.Field(ge=1, le=INTEGER_MAX)]
 NonNegativeInt = typing.Annotated[int, pydantic.Field(ge=0, le=INTEGER_MAX)]
 Ratio = typing.Annotated[float, pydantic.Field(ge=0, le=1)]
-Rate = typing.Annotated[float, pydantic.Field(gt=0, le=1e7)]
+RATE_MAX_PER_S = 1e7
+Rate = typing.Annotated[float, pydantic.Field(gt=0, le=RATE_MAX_PER_S)]
 TIMEOUT_MAX_MS = 600_000
+COLD_START_MAX_MS = 3_600_000
 STALENESS_MAX_MS = 86_400_000
 # Name of the listener object whose limits apply to callers' requests.
 CALLERS_LISTENER = "callers"
@@ -125,6 +127,9 @@
         server; 0 lets the node decide.
     :param health_path: health check path, to which a healthy backend server
         responds with its id; empty for none.
+    :param cold_start_ms: how long a backend server is cold after its start.
+    :param cold_rate_per_s: requests per second that a backend server takes
+        while it is cold; 0 for no limit.
     """
 
     __pydantic_config__ = _STRICT
@@ -136,6 +141,12 @@
     )
     connections_max: NonNegativeInt = 0
     health_path: str = ""
+    cold_start_ms: typing.Annotated[
+        float, pydantic.Field(ge=0, le=COLD_START_MAX_MS)
+    ] = 0.0
+    cold_rate_per_s: typing.Annotated[
+        float, pydantic.Field(ge=0, le=RATE_MAX_PER_S)
+    ] = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -286,6 +297,8 @@
     Kind.ROUTE: Route,
     Kind.LISTENER: Listener,
 }
+# Fields that nodes of release 0.5 refuse; left out while they are unset.
+_OMITTED_WHEN_UNSET = {Kind.SERVICE: ("cold_start_ms", "cold_rate_per_s")}
 _ADAPTERS = {kind: pydantic.TypeAdapter(cls) for kind, cls in _CLASSES.items()}
 
 
@@ -333,7 +346,12 @@
     :param value: the object.
     :returns: JSON bytes.
     """
-    return _ADAPTERS[kind].dump_json(value)
+    unset = {
+        name
+        for name in _OMITTED_WHEN_UNSET.get(kind, ())
+        if not getattr(value, name)
+    }
+    return _ADAPTERS[kind].dump_json(value, exclude=unset or None)
 
 
 def format_validation_error(error):
--- a/fescueyard/core/codes.py
+++ b/fescueyard/core/codes.py
@@ -145,7 +145,7 @@
     "server_limited",
     503,
     _NOT_RUN,
-    "The backend server has named a limit, which is used up.",
+    "The backend server's limit of requests is used up.",
     True,
 )
 
--- a/fescueyard/core/effects.py
+++ b/fescueyard/core/effects.py
@@ -102,6 +102,20 @@
     address: str
 
 
+@dataclasses.dataclass(slots=True)
+class QueryHealth:
+    """Request the health path of the VM's backend server.
+
+    :param address: ``host:port`` of the backend server.
+    :param path: its health path.
+    :param break_count: breaks of its connections known at this time.
+    """
+
+    address: str
+    path: str
+    break_count: int
+
+
 @dataclasses.dataclass(slots=True)
 class Dial:
     """Open a stream to a process, without a message to send.
--- a/fescueyard/core/headers.py
+++ b/fescueyard/core/headers.py
@@ -21,6 +21,8 @@
     :param server_limit: requests a second that the backend server takes from
         all nodes together, on its responses.
     :param server_leaving: set by a backend server that accepts no new work.
+    :param cold_ms: remaining time, in ms, for which the backend server is
+        cold, on its health responses.
     """
 
     request_id: str = "x-request-id"
@@ -32,6 +34,7 @@
     not_run: str = "fescueyard-not-run"
     server_limit: str = "server-limit"
     server_leaving: str = "server-leaving"
+    cold_ms: str = "server-cold-ms"
 
     def reserved(self):
         """Return the names of headers that a caller may not set.
--- a/fescueyard/core/notices.py
+++ b/fescueyard/core/notices.py
@@ -8,6 +8,8 @@
 
 _DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 _LEAVING_VALUE = "1"
+_COLD_TIME = re.compile(r"[0-9]{1,9}(\.[0-9]{1,20})?")
+COLD_MAX_MS = 86_400_000  # a day
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,3 +48,20 @@
         limit_per_s,
         leaving_text is not None and leaving_text.strip() == _LEAVING_VALUE,
     )
+
+
+def parse_cold_ms(headers, names):
+    """Parse how long a backend server remains cold, from a health response.
+
+    :param headers: list of :class:`~fescueyard.core.http.Header`.
+    :param names: :class:`~fescueyard.core.headers.HeaderNames`.
+    :returns: ms; None when it isn't reported, not a number when it can't be
+        read or is out of range.
+    """
+    text = http.find_header(headers, names.cold_ms)
+    if text is None:
+        return None
+    if _COLD_TIME.fullmatch(text.strip()) is None:
+        return math.nan
+    cold_ms = float(text)
+    return cold_ms if cold_ms <= COLD_MAX_MS else math.nan
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -8,6 +8,7 @@
 
 from fescueyard.admission import discovery
 from fescueyard.admission import registration
+from fescueyard.admission import start_limits
 from fescueyard.admission import systems as admission
 from fescueyard.conf import settings as conf_settings
 from fescueyard.configuration import models as configuration_models
@@ -163,6 +164,7 @@
             settings.answer_bytes_max,
             tables.interface.names,
             requires_echo=tables.routed,
+            connection_lost=self._backend_connection_lost,
         )
         self._executor = execution.Executor(
             self._stream_pool,
@@ -170,6 +172,7 @@
             self._backend_client,
             self._run_completed,
             self._probe_completed,
+            self._health_completed,
         )
         self._shutting_down = False
         self._applied_version = -1
@@ -547,12 +550,17 @@
         if path is None:
             return
         self._discovery_attempts_left -= 1
+        break_count = start_limits.record_health_request(
+            self._tables, clock.now_ms()
+        )
         request = http.HttpRequest("GET", path, [], b"")
         future = self._backend_client.fetch(f"http://{address}", request, True)
-        future.add_done_callback(self._backend_id_received)
+        future.add_done_callback(
+            functools.partial(self._backend_id_received, break_count)
+        )
 
     @_ends_process_on_error
-    def _backend_id_received(self, future):
+    def _backend_id_received(self, break_count, future):
         now_ms = clock.now_ms()
         result = future.result()
         response = result.response
@@ -576,8 +584,25 @@
             registration.record_notice(
                 self._tables, result.notice, now_ms, now_ms
             )
+        start_limits.handle_health_response(
+            self._tables, response, break_count, now_ms
+        )
         self._process_pending(now_ms)
 
+    @_ends_process_on_error
+    def _health_completed(self, break_count, result):
+        now_ms = clock.now_ms()
+        start_limits.handle_health_response(
+            self._tables, result.response, break_count, now_ms
+        )
+        self._process_pending(now_ms)
+
+    @_ends_process_on_error
+    def _backend_connection_lost(self):
+        start_limits.record_break(
+            self._tables, "connection_closed", clock.now_ms()
+        )
+
     def _probe_completed(self, task):
         now_ms = clock.now_ms()
         accepted = not task.cancelled() and task.result()
--- a/fescueyard/node/execution.py
+++ b/fescueyard/node/execution.py
@@ -9,6 +9,7 @@
 from fescueyard.core import codes
 from fescueyard.core import effects
 from fescueyard.core import failures
+from fescueyard.core import http
 from fescueyard.core import logs
 from fescueyard.transport import backend_connection
 
@@ -25,6 +26,8 @@
     :param run_completed: function of the run id and its
         :class:`~fescueyard.transport.backend_connection.BackendResult`.
     :param probe_completed: function of a completed probe's task.
+    :param health_completed: function of the number that came with a health
+        request and of its result.
     """
 
     def __init__(
@@ -34,12 +37,15 @@
         client,
         run_completed,
         probe_completed,
+        health_completed,
     ):
         self.stream_pool = stream_pool
         self.datagram_socket = datagram_socket
         self.client = client
         self.run_completed = run_completed
         self.probe_completed = probe_completed
+        self.health_completed = health_completed
+        self.health_future = None
         self.connections = {}
         self.run_futures = {}
 
@@ -127,6 +133,27 @@
     task.add_done_callback(executor.probe_completed)
 
 
+@_execute.register
+def _query_health(effect: effects.QueryHealth, executor):
+    if executor.health_future is not None:
+        # A server that hangs would otherwise gather one connection for each.
+        executor.client.cancel(executor.health_future)
+    future = executor.client.fetch(
+        f"http://{effect.address}",
+        http.HttpRequest("GET", effect.path, [], b""),
+        True,
+    )
+    executor.health_future = future
+
+    def completed(completed_future):
+        executor.health_future = None
+        executor.health_completed(
+            effect.break_count, completed_future.result()
+        )
+
+    future.add_done_callback(completed)
+
+
 @_execute.register
 def _abort_run(effect: effects.AbortRun, executor):
     future = executor.run_futures.pop(effect.run_id, None)
--- a/fescueyard/node/exposition.py
+++ b/fescueyard/node/exposition.py
@@ -1,5 +1,6 @@
 """Metrics of a node in the exposition format."""
 
+from fescueyard.admission import start_limits
 from fescueyard.configuration import replica
 from fescueyard.core import exposition
 from fescueyard.routing import traffic
@@ -40,6 +41,7 @@
         "runs_running": len(runs.running),
         "runs_queued": runs.queued_count,
         "run_limit": int(runs.limiter.limit),
+        "server_cold": start_limits.cold_state(tables, now_ms),
         "pressure_kept": round(tables.pressure.backend.admitted_share, 3),
         "members_alive": tables.members.nodes_alive,
         "configuration_version": tables.configuration.state.version,
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -6,6 +6,7 @@
 import dataclasses
 
 from fescueyard.admission import registration
+from fescueyard.admission import start_limits
 from fescueyard.admission import systems as admission
 from fescueyard.core import dispatch
 from fescueyard.core import exceptions
@@ -33,6 +34,7 @@
     :param tables: the node's tables.
     :param now_ms: the present time.
     """
+    start_limits.tick(tables, now_ms)
     for event in timers.pop_due(tables.timers, now_ms):
         dispatch.handle(event, tables, now_ms)
     membership.tick(tables, now_ms)
--- a/fescueyard/platform/announcements.py
+++ b/fescueyard/platform/announcements.py
@@ -14,6 +14,7 @@
 from fescueyard.core import exceptions
 from fescueyard.core import http
 from fescueyard.core import logs
+from fescueyard.core import notices
 
 LOG = logs.ComponentLogger("announcement")
 
@@ -26,7 +27,7 @@
 SLOTS_MAX = 100_000
 SEQUENCE_MAX = 2**53
 START_TIME_MAX_MS = 4_102_444_800_000  # the year 2100
-COLD_MAX_MS = 86_400_000  # a day
+COLD_MAX_MS = notices.COLD_MAX_MS
 NAME_CHARS_MAX = 255
 ERROR_CHARS_MAX = 500
 
--- a/fescueyard/platform/configurations.py
+++ b/fescueyard/platform/configurations.py
@@ -59,6 +59,14 @@
     Name: str
     HealthPath: str = ""
     MaxConns: int = 0
+    # How long a backend server is cold after its start, and how many requests
+    # per second it takes then; 0 for no limit.
+    ColdStartS: typing.Annotated[
+        float, pydantic.Field(ge=0, le=models.COLD_START_MAX_MS / 1000)
+    ] = 0.0
+    ColdPerS: typing.Annotated[
+        float, pydantic.Field(ge=0, le=models.RATE_MAX_PER_S)
+    ] = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -150,6 +158,8 @@
             PROFILE_NAME,
             connections_max=max(0, service.MaxConns),
             health_path=service.HealthPath,
+            cold_start_ms=service.ColdStartS * 1000,
+            cold_rate_per_s=service.ColdPerS,
         )
         objects.append(_build_object(models.Kind.SERVICE, service.Name, value))
     for tenant in configuration.Tenants:
--- a/fescueyard/platform/interface.py
+++ b/fescueyard/platform/interface.py
@@ -16,6 +16,7 @@
     not_run="x-not-run",
     server_limit="server-limit",
     server_leaving="server-leaving",
+    cold_ms="x-cold-ms",
 )
 # Caller errors, which keep their HTTP status. Every other rejection of a
 # request that has not run gets a status that invites a retry.
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -32,6 +32,8 @@
     :param names: :class:`~fescueyard.core.headers.HeaderNames`.
     :param requires_echo: whether each successful response has to echo the id
         of its request; otherwise only those of a server that has echoed one.
+    :param connection_lost: function that is called when the backend server
+        closes an idle connection.
     """
 
     def __init__(
@@ -40,10 +42,12 @@
         response_bytes_max,
         names=header_names.HeaderNames(),
         requires_echo=True,
+        connection_lost=lambda: None,
     ):
         self.response_bytes_max = response_bytes_max
         self.names = names
         self.requires_echo = requires_echo
+        self._connection_lost = connection_lost
         self.echoing_addresses = set()
         self.connections_opened = 0
         self._connections_max = connections_max
@@ -111,6 +115,8 @@
         idle = self._idle.get(connection.address, [])
         if connection in idle:
             idle.remove(connection)
+        if not connection.aborted and connection.is_idle():
+            self._connection_lost()
 
     def close(self):
         """Close the idle connections."""
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -100,6 +100,7 @@
         self.idle_since_s = 0.0
         self.idle_max_s = IDLE_MAX_S
         self.usable = True
+        self.aborted = False
         self._client = client
         self._transport = None
         self._parser = httptools.HttpResponseParser(self)
@@ -115,6 +116,10 @@
         self._transport = transport
         sockets.set_options(transport)
 
+    def is_idle(self):
+        """Return whether no request is in progress."""
+        return self._transfer is None
+
     def start(self, transfer):
         """Write a request."""
         transfer.connection = self
@@ -128,6 +133,7 @@
         """Close at once; the request in progress gets no result."""
         self._transfer = None
         self.usable = False
+        self.aborted = True
         if self._transport is not None:
             self._transport.abort()
 
@@ -322,6 +328,7 @@
         if self.usable and not self._transport.is_closing():
             self._client.add_idle(self)
         else:
+            self.aborted = True
             self._transport.abort()
         if transfer is not None and not transfer.cancelled:
             transfer.future.set_result(result)
--- a/tests/platform/test_configurations.py
+++ b/tests/platform/test_configurations.py
@@ -105,7 +105,35 @@
     assert b"key-1" not in b"".join(item.document for item in parsed.objects)
 
 
+def test_cold_limit_of_a_service_is_parsed():
+    body = _with_change(
+        lambda v: v["Services"][0].update(ColdStartS=3.0, ColdPerS=3.6)
+    )
+    services = _objects(
+        configurations.parse(body, PROFILE), models.Kind.SERVICE
+    )
+    assert services["one"].cold_start_ms == 3_000
+    assert services["one"].cold_rate_per_s == 3.6
+    assert services["two"].cold_rate_per_s == 0
+
+
+def test_unset_cold_limit_is_not_written():
+    """Nodes of release 0.5 refuse fields that they don't know."""
+    parsed = configurations.parse(json.dumps(CONFIGURATION).encode(), PROFILE)
+    assert b"cold" not in b"".join(item.document for item in parsed.objects)
+
+
 INVALID = {
+    "negative cold rate": lambda v: v["Services"][0].update(ColdPerS=-0.1),
+    "infinite cold rate": lambda v: v["Services"][0].update(
+        ColdPerS=float("inf")
+    ),
+    "huge cold rate": lambda v: v["Services"][0].update(ColdPerS=1e9),
+    "negative cold time": lambda v: v["Services"][0].update(ColdStartS=-1),
+    "infinite cold time": lambda v: v["Services"][0].update(
+        ColdStartS=float("inf")
+    ),
+    "huge cold time": lambda v: v["Services"][0].update(ColdStartS=1e6),
     "unknown service": lambda v: v["Routes"][1].update(Service="three"),
     # The split wins over it, so it would go unnoticed.
     "unknown service beside a split": lambda v: v["Routes"][0].update(
--- a/tests/world.py
+++ b/tests/world.py
@@ -15,6 +15,7 @@
 
 from fescueyard.admission import announcements
 from fescueyard.admission import registration
+from fescueyard.admission import start_limits
 from fescueyard.admission import systems as admission
 from fescueyard.configuration import state as states
 from fescueyard.control import systems as control_systems
@@ -111,7 +112,9 @@
     the remaining time of its slow start, which only a server that announces
     itself with an id reports; None announces it without one. ``limit_per_s``
     is the limit that it names in its responses; ``leaving`` makes it say in
-    them that it is leaving.
+    them that it is leaving. With ``cold_start_ms`` it is cold for that long
+    after each start and says so in its announcements, which arrive up to
+    ``announcement_delay_ms`` late, and in its health responses.
     """
 
     def __init__(self, service, slots, service_ms=5.0):
@@ -128,6 +131,10 @@
         self.cold_ms = None
         self.limit_per_s = None
         self.leaving = False
+        self.cold_start_ms = None
+        self.cold_until_ms = 0.0
+        self.announcement_delay_ms = 0.0
+        self.born_ms = 1
         self.sequence = 0
         self.up = True
         self.running = 0
@@ -275,6 +282,26 @@
             action()
         self._tick_node(node)
 
+    def stop_backend(self, name):
+        """End a backend server's process; its connections break."""
+        node = self.nodes[name]
+        node.backend.up = False
+        self._crash(node)
+        self._run_on(
+            node,
+            lambda: start_limits.record_break(
+                node.tables, "connection_closed", self.now_ms
+            ),
+        )
+
+    def start_backend(self, name):
+        """Start the next process of a backend server, which is cold."""
+        backend = self.nodes[name].backend
+        backend.up = True
+        backend.born_ms = int(self.now_ms) + 2
+        backend.sequence = 0
+        backend.cold_until_ms = self.now_ms + backend.cold_start_ms
+
     def isolate_zone(self, zone):
         """Partition a zone from the others."""
         self.isolated_zones.add(zone)
@@ -414,6 +441,8 @@
             self._dial(node, effect.address)
         elif isinstance(effect, effects.StartRun):
             self._start_run(node, effect)
+        elif isinstance(effect, effects.QueryHealth):
+            self._respond_to_health(node, effect)
         elif isinstance(effect, effects.AbortRun):
             run = node.runs.pop(effect.run_id, None)
             if run is not None:
@@ -432,11 +461,62 @@
         if self.nodes.get(node.name) is not node or node.backend is None:
             return
         backend = node.backend
-        if backend.up and backend.announces:
+        if backend.up and backend.announces and backend.cold_start_ms is None:
             self._run_on(node, lambda: self._receive_announcement(node))
             self._settle(node)
+        elif backend.up and backend.announces:
+            self._announce_late(node)
         self._schedule(BACKEND_TTL_MS / 3, lambda: self._announce(node))
 
+    def _announce_late(self, node):
+        """Send an announcement that says how long the server remains cold."""
+        backend = node.backend
+        backend.sequence += 1
+        announcement = announcements.Announcement(
+            f"i-{node.name}",
+            backend.service,
+            "127.0.0.1:1",
+            backend.slots,
+            backend.born_ms,
+            backend.sequence,
+            False,
+            max(0.0, backend.cold_until_ms - self.now_ms),
+        )
+
+        def receive(receiver):
+            registration.apply_announcement(
+                receiver.tables, announcement, 2 * BACKEND_TTL_MS, self.now_ms
+            )
+            self._settle(receiver)
+
+        def arrive():
+            # The node may have been restarted since it was sent.
+            receiver = self.nodes.get(node.name)
+            if receiver is not None:
+                self._run_on(receiver, lambda: receive(receiver))
+
+        delay_ms = self.random.uniform(0, backend.announcement_delay_ms)
+        self._schedule(delay_ms, arrive)
+
+    def _respond_to_health(self, node, effect):
+        backend = node.backend
+        response = None
+        if backend is not None and backend.up:
+            request = http.HttpRequest("GET", effect.path, [], b"")
+            self.runs.append(Run(node.name, request, self.now_ms))
+            left_ms = max(0.0, backend.cold_until_ms - self.now_ms)
+            name = node.tables.interface.names.cold_ms
+            headers = [http.Header(name, f"{left_ms:.1f}")]
+            response = http.HttpResponse(200, headers, b"")
+
+        def receive():
+            start_limits.handle_health_response(
+                node.tables, response, effect.break_count, self.now_ms
+            )
+            self._settle(node)
+
+        self._schedule(0.5, lambda: self._run_on(node, receive))
+
     def _receive_announcement(self, node):
         backend = node.backend
         if backend.cold_ms is None:
