Reserve fallback shares of zones that only the settings name

The new leader took the zones from its member table, which was empty. The zones of the settings count as well. The new test fails without the change, as the table has no such field.

--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -95,6 +95,7 @@
             settings.link_mbps
         )
         self._tables.zones = settings.zones
+        self._tables.fleet_grantor.configured_zones = settings.zones
         secret = conf_settings.read_secret(
             settings.cluster_secret,
             settings.cluster_secret_file,
@@ -159,6 +160,7 @@
         self.settings = settings
         self._tables.control_addresses = settings.control_addresses
         self._tables.zones = settings.zones
+        self._tables.fleet_grantor.configured_zones = settings.zones
         self._tables.members.seeds = list(settings.control_addresses)
         self._tables.members.saves_cross_zone = zone_relays.is_scarce(
             settings.link_mbps
--- a/fescueyard/limits/fallback_leases.py
+++ b/fescueyard/limits/fallback_leases.py
@@ -174,10 +174,15 @@
 
 
 def _zones(table, members):
-    """Return the zones that have nodes; cached until the members change."""
+    """Return the zones that may have nodes; cached until the members change.
+
+    Load pattern: all control processes are restarted while a zone is cut off.
+    The new leader has no member of that zone, which goes on using its share.
+    Only the settings name it.
+    """
     if table.zones_version != members.version:
         table.zones_version = members.version
-        table.zones = {
+        table.zones = set(table.configured_zones) | {
             member.zone
             for member in members.rows.values()
             if member.role == routing_models.NODE_ROLE
--- a/fescueyard/limits/models.py
+++ b/fescueyard/limits/models.py
@@ -70,13 +70,16 @@
     :param term: latest term in which this process was leader; 0 for none.
     :param leader_since_ms: when this process became leader.
     :param granted_count: tokens granted to all customers together.
-    :param zones: zones that have nodes.
+    :param configured_zones: zones named by the settings. They may have nodes
+        that a new leader can't see.
+    :param zones: zones that have nodes, and those of the settings.
     :param zones_version: version of the member table that ``zones`` was
         computed from.
     """
 
     buckets: dict[str, FleetBucket] = dataclasses.field(default_factory=dict)
     holders: dict[str, Holder] = dataclasses.field(default_factory=dict)
+    configured_zones: list[str] = dataclasses.field(default_factory=list)
     term: int = 0
     leader_since_ms: float = dataclasses.field(
         default=0.0, metadata=dumps.written_as("in_charge_since_ms")
--- a/tests/limits/test_fallback.py
+++ b/tests/limits/test_fallback.py
@@ -287,6 +287,27 @@
     )
 
 
+def test_new_leader_without_members_reserves_for_the_zones_of_the_settings():
+    """Guards against a rate granted twice.
+
+    All control processes were restarted while a zone was cut off. The new
+    leader knew no member there, and granted the share that the zone used.
+    """
+    leader = _large_world(0).cluster
+    members = leader.tables[leader.leader()].members
+    members.rows.clear()
+    members.version += 1
+    zones = ["zone-a", "zone-b", "zone-c"]
+    table = models.GrantorTable(configured_zones=zones)
+    for zone in zones[:2]:
+        request = messages.TokenRequest(
+            1, zone, True, [], zone, 0, [messages.FallbackShare(0, 0.0)]
+        )
+        fallback_leases.record_request(table, request, 0.0)
+    unreported = fallback_leases.unreported_shares(table, members, 1.0, 0.0)
+    assert unreported[0] == pytest.approx(1 / 3)
+
+
 @pytest.mark.parametrize("share", [0.0, 1.0])
 def test_idle_grantor_is_not_taken_for_a_cut_off_one(share):
     world = _world(0, share)
