Pace starting and recovering servers by how they respond

A server that has just become warm was either flooded or left idle for the seconds of a timed ramp. In services with a cold rate its node now lets a window of requests run at once: two after a start, twice as many after each good round, fewer at once on failures or, while it starts, on high latency. The window is reported as the limit, so senders weight the server by it. Before a report they count on two slots, later on half of them at most. What the window or the cold rate holds back raises no back-pressure and runs elsewhere. The timed slow start stays where a service has no cold rate.

--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -7,6 +7,7 @@
 from fescueyard.admission import concurrency_share
 from fescueyard.admission import messages
 from fescueyard.admission import outcomes
+from fescueyard.admission import pace as paces
 from fescueyard.admission import server_limit as server_limits
 from fescueyard.core import dumps
 
@@ -157,6 +158,7 @@
     :param outcome_counts: recent runs and failures of the backend server.
     :param server_limit: the limit that the backend server has named.
     :param cold_limit: the limit that holds while it is cold.
+    :param pace: the pace at which it gets more work after a start.
     :param token_wakeup_at_ms: when the queue is looked at again, as a limit
         may let a run start.
     """
@@ -193,5 +195,6 @@
     cold_limit: cold_limits.ColdLimit = dataclasses.field(
         default_factory=cold_limits.ColdLimit
     )
+    pace: paces.Pace = dataclasses.field(default_factory=paces.Pace)
     token_wakeup_at_ms: float = float("-inf")
     fairness: FairnessTable = dataclasses.field(default_factory=FairnessTable)
--- a/fescueyard/admission/start_limits.py
+++ b/fescueyard/admission/start_limits.py
@@ -1,12 +1,16 @@
-"""How many requests per second may start at this VM's backend server.
+"""What limits the requests that start at this VM's backend server.
 
-Combines the limit that the server names (:mod:`server_limit`) with the one
-that holds while it is cold (:mod:`cold_limit`).
+Combines the rate that the server names (:mod:`server_limit`), the one that
+holds while it is cold (:mod:`cold_limit`) and, in services with a cold rate,
+its pace after a start (:mod:`pace`).
 """
 
 import dataclasses
+import math
 
 from fescueyard.admission import cold_limit
+from fescueyard.admission import limiter
+from fescueyard.admission import pace
 from fescueyard.admission import registration
 from fescueyard.admission import server_limit
 from fescueyard.admission import token_bucket
@@ -49,15 +53,83 @@
 
 
 def is_limited(tables, now_ms):
-    """Return whether a rate limits what the backend server takes.
+    """Return whether a rate or the pace limits what the server takes.
 
     :param tables: the node's tables.
     :param now_ms: the present time.
     :returns: bool.
     """
-    if tables.runs.server_limit.rate_per_s is not None:
+    table = tables.runs
+    if table.server_limit.rate_per_s is not None:
         return True
-    return _is_cold(tables, now_ms)
+    return not math.isinf(table.pace.window) or _is_cold(tables, now_ms)
+
+
+def pace_window(tables):
+    """Return the window of the pace, as a metric.
+
+    :param tables: the node's tables.
+    :returns: number of requests; 0 with full load.
+    """
+    window = tables.runs.pace.window
+    return 0 if math.isinf(window) else round(window, 1)
+
+
+def has_free_slot(tables):
+    """Return whether concurrency limit and pace let one more request start.
+
+    :param tables: the node's tables.
+    :returns: bool.
+    """
+    table = tables.runs
+    running = len(table.running)
+    return limiter.may_start(table.limiter, running) and pace.may_start(
+        table.pace, running
+    )
+
+
+def reported_limit(tables, now_ms):
+    """Return the concurrency limit that senders weight the server by.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: whole number.
+    """
+    if _is_cold(tables, now_ms):
+        return 1
+    return int(min(tables.runs.limiter.limit, tables.runs.pace.window))
+
+
+def record_completion(tables, run, is_good, now_ms):
+    """Adjust the pace to the end of a run.
+
+    A run that failed along with a call to another service, or was waiting for
+    one, tells nothing about this server.
+
+    :param tables: the node's tables.
+    :param run: :class:`~fescueyard.admission.models.Run`.
+    :param is_good: whether the server ran it and responded without an error.
+    :param now_ms: the present time.
+    """
+    table = tables.runs
+    if not cold_rate_per_s(tables):
+        return
+    is_good = is_good or _depends_on_other(tables, run)
+    quality = tables.members.quality.get(
+        (table.backend.service, run.forward.priority)
+    )
+    pace.record_completion(
+        table.pace,
+        pace.Completion(
+            run.started_at_ms,
+            is_good,
+            len(table.running),
+            table.backend.slots,
+            quality.latency_ms if quality else 0.0,
+            tables.own_profile().latency_tolerance,
+        ),
+        now_ms,
+    )
 
 
 def cold_state(tables, now_ms):
@@ -111,6 +183,12 @@
     return max(
         server_limit.wait_ms(table.server_limit, ahead_count, now_ms),
         cold_limit.wait_ms(table.cold_limit, rate_per_s, ahead_count, now_ms),
+        pace.wait_ms(
+            table.pace,
+            len(table.running),
+            ahead_count,
+            table.limiter.short_latency_ms,
+        ),
     )
 
 
@@ -222,9 +300,18 @@
     rate_per_s = cold_rate_per_s(tables)
     if rate_per_s:
         token_bucket.refill(limit.bucket, rate_per_s, now_ms)
+        pace.update_cold(
+            tables.runs.pace, cold_limit.is_cold(limit, now_ms), now_ms
+        )
         _report(tables, now_ms)
 
 
+def _depends_on_other(tables, run):
+    return bool(run.failed_call_fingerprints) or any(
+        call.parent_run_id == run.run_id for call in tables.calls.rows.values()
+    )
+
+
 def _is_cold(tables, now_ms):
     return bool(cold_rate_per_s(tables)) and cold_limit.is_cold(
         tables.runs.cold_limit, now_ms
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -170,7 +170,7 @@
             now_ms - run.started_at_ms,
         )
     _record_outcome(table, response, code, now_ms)
-    _record_completion(tables, run, now_ms)
+    _record_completion(tables, run, _is_success(response), now_ms)
     _complete_run(tables, run, code, response, 0.0, now_ms, crash_id)
     _start_eligible_runs(tables, now_ms)
 
@@ -359,7 +359,7 @@
     table = tables.runs
     if table.backend is None or table.backend.leaving:
         return
-    while limiter.may_start(table.limiter, len(table.running)):
+    while start_limits.has_free_slot(tables):
         if not start_limits.may_start(tables, now_ms):
             start_limits.schedule_next_token(tables, now_ms)
             return
@@ -456,7 +456,7 @@
 
 def _abort_run(tables, run, code, now_ms):
     tables.effects.append(effects.AbortRun(run.run_id))
-    _record_completion(tables, run, now_ms)
+    _record_completion(tables, run, code is codes.CANCELLED_RUNNING, now_ms)
     _complete_run(tables, run, code, None, 0.0, now_ms)
     _start_eligible_runs(tables, now_ms)
 
@@ -480,7 +480,8 @@
         )
 
 
-def _record_completion(tables, run, now_ms):
+def _record_completion(tables, run, is_good, now_ms):
+    start_limits.record_completion(tables, run, is_good, now_ms)
     table = tables.runs
     latency_ms = now_ms - run.started_at_ms
     queueing.charge(tables, run, latency_ms)
@@ -536,7 +537,7 @@
         retry_after_ms,
         crash_id,
         count_runs(table),
-        int(table.limiter.limit),
+        start_limits.reported_limit(tables, now_ms),
         pressure.share,
         pressure.bottleneck,
         table.limiter.latency_by_priority_ms.get(run.forward.priority, 0.0),
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -329,7 +329,7 @@
         tables,
         call.service,
         call.tried_node_ids,
-        profile.slow_start_ms,
+        tables.slow_start_ms_of(call.service),
         now_ms,
     )
     if member is None:
--- a/fescueyard/node/exposition.py
+++ b/fescueyard/node/exposition.py
@@ -42,6 +42,7 @@
         "runs_queued": runs.queued_count,
         "run_limit": int(runs.limiter.limit),
         "server_cold": start_limits.cold_state(tables, now_ms),
+        "pace_window": start_limits.pace_window(tables),
         "pressure_kept": round(tables.pressure.backend.admitted_share, 3),
         "members_alive": tables.members.nodes_alive,
         "configuration_version": tables.configuration.state.version,
--- a/fescueyard/node/tables.py
+++ b/fescueyard/node/tables.py
@@ -175,6 +175,19 @@
             return self.default_profile
         return state.find(configuration_models.Kind.PROFILE, service.profile)
 
+    def slow_start_ms_of(self, service_name):
+        """Return the time over which a new server's share of the load grows.
+
+        :param service_name: the service.
+        :returns: ms; None when the nodes of its servers pace them.
+        """
+        service = self.configuration.state.find(
+            configuration_models.Kind.SERVICE, service_name
+        )
+        if service is not None and service.cold_rate_per_s:
+            return None
+        return self.profile_of(service_name).slow_start_ms
+
 
 def new_tables(
     process_id, zone, region, address, seeds, seed, secure_random, role
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -32,6 +32,12 @@
 # cold.
 COLD_CAPACITY_SHARE = 0.5
 SLOW_START_SHARE_MIN = 0.1
+# Slots to count on before a paced server has reported its limit. The longer
+# there is no report, the more count, up to a share of all: a server with a low
+# limit is not chosen, and only its responses can tell that it has grown.
+PACED_SLOTS_MIN = 2
+PACED_UNREPORTED_SHARE_MAX = 0.5
+PACED_UNREPORTED_MS = 2_000
 
 
 def choose(tables, service, tried_node_ids, slow_start_ms, now_ms):
@@ -41,7 +47,7 @@
     :param service: name of the service.
     :param tried_node_ids: ids of nodes that this call was sent to before.
     :param slow_start_ms: time in ms after which a new backend server counts
-        with its full capacity.
+        with its full capacity; None where its node paces it.
     :param now_ms: the present time.
     :returns: its :class:`~fescueyard.routing.messages.Member`, or None.
     """
@@ -303,14 +309,37 @@
     target = table.targets.get(member.node_id)
     if target is None:
         return 0.0
-    capacity = max(1, target.limit or member.slots)
     load = max(
         _estimated_load(table, member, target, now_ms), target.outstanding
     )
-    capacity *= _slow_start_share(target, slow_start_ms, now_ms)
+    if slow_start_ms is None:
+        capacity = _paced_capacity(member, target, now_ms)
+    else:
+        capacity = max(1, target.limit or member.slots)
+        capacity *= _slow_start_share(target, slow_start_ms, now_ms)
     return outliers.weigh(table, target, (load + 1) / capacity, now_ms)
 
 
+def _paced_capacity(member, target, now_ms):
+    """Return the slots to count on at a server that its node paces.
+
+    A limit that was reported before the server started, or while it was cold,
+    says nothing about the present.
+    """
+    since_ms = target.accepting_since_ms
+    if target.cold_until_ms is not None:
+        if now_ms < target.cold_until_ms:
+            return 1
+        since_ms = max(since_ms, target.cold_until_ms)
+    limit = min(PACED_SLOTS_MIN, member.slots)
+    if target.limit and target.reported_at_ms >= since_ms:
+        limit = target.limit
+        since_ms = target.reported_at_ms
+    share = min(1.0, (now_ms - since_ms) / PACED_UNREPORTED_MS)
+    share *= PACED_UNREPORTED_SHARE_MAX
+    return max(limit, share * member.slots)
+
+
 def _slow_start_share(target, slow_start_ms, now_ms):
     """Return the share of the slots to count on during a slow start.
 
