Compare the pace with the timed ramp

New benchmark "starts": one of ten servers restarts, a third at 1.3 times the load, and a service as a whole; cold servers crash above 13 requests a second.

--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -5,7 +5,14 @@
 
 from benchmarks import report
 
-BENCHMARKS = ("two_hops", "pipelining", "policy", "slopes", "pulls")
+BENCHMARKS = (
+    "two_hops",
+    "pipelining",
+    "policy",
+    "starts",
+    "slopes",
+    "pulls",
+)
 
 
 def main():
