Report idle connections that the backend server ends with data

Some servers write a response before they close an idle connection. The client then aborted the connection itself and didn't report it as closed by the server, so a restart of the server could go unnoticed.

--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -140,7 +140,10 @@
     def data_received(self, data):
         """Parse the response; abort when no request is in progress."""
         if self._transfer is None:
-            self.abort()
+            # The backend server ends the connection, as some do after a
+            # timeout; it counts as closed by the server.
+            self.usable = False
+            self._transport.abort()
             return
         self._overhead_bytes += len(data)
         try:
--- a/tests/admission/test_pace.py
+++ b/tests/admission/test_pace.py
@@ -231,6 +231,8 @@
     _restart(world, ["s0"])
     world.run(6_000)
     assert _served_share(calls, started_at_ms) >= 0.995
+    for node in world.nodes.values():
+        assert node.tables.pressure.backend.admitted_share == 1.0
     # Warm after 2.3 s, it has its part of the load in the fifth second.
     got = {
         name: sum(
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -320,3 +320,47 @@
     result = await asyncio.wait_for(done, 5)
     server.close()
     return result
+
+
+async def _count_lost(response, closes_after_ms):
+    """Return how often a connection is reported as lost after a response.
+
+    :param closes_after_ms: when the server closes the idle connection; None
+        when it closes with the response.
+    """
+    lost = []
+
+    async def accept(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(response)
+        if closes_after_ms is not None:
+            await asyncio.sleep(closes_after_ms / 1000)
+        writer.close()
+
+    server = await asyncio.start_server(accept, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    client = backend_client.BackendClient(
+        10, 1_000, connection_lost=lambda: lost.append(1)
+    )
+    done = asyncio.get_running_loop().create_future()
+    request = http.HttpRequest("GET", "/order", [], b"")
+    client.fetch(f"http://{host}:{port}", request, True).add_done_callback(
+        lambda future: done.set_result(future.result())
+    )
+    await asyncio.wait_for(done, 5)
+    for _ in range(100):
+        if lost:
+            break
+        await asyncio.sleep(0.005)
+    server.close()
+    return len(lost)
+
+
+def test_idle_connection_that_the_server_closes_is_reported():
+    """Its process may have ended, and the next one may be cold."""
+    assert asyncio.run(_count_lost(RESPONSE, 20)) == 1
+
+
+def test_connection_that_ends_with_its_response_is_not_reported():
+    response = RESPONSE.replace(b"x-a: b", b"connection: close")
+    assert asyncio.run(_count_lost(response, None)) == 0
