--- a/benchmarks/__main__.py
+++ b/benchmarks/__main__.py
@@ -10,6 +10,7 @@
     "request_cpu",
     "pipelining",
     "policy",
+    "starts",
     "slopes",
     "pulls",
 )
