--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -551,11 +551,11 @@
 def _caller_response(tables, response, code):
     """Build the caller's response from a backend server's response."""
     headers = keys.sanitize_response_headers(response.headers)
-    if tables.routed:
-        return dataclasses.replace(response, headers=headers)
-    headers.append(http.Header(problems.CODE_HEADER, str(code.number)))
-    headers.append(http.Header(problems.OUTCOME_HEADER, code.outcome.value))
-    return dataclasses.replace(response, headers=headers)
+    if not tables.routed:
+        headers.append(http.Header(problems.CODE_HEADER, str(code.number)))
+        outcome = code.outcome.value
+        headers.append(http.Header(problems.OUTCOME_HEADER, outcome))
+    return http.HttpResponse(response.status, headers, response.body)
 
 
 def _finish_failed(tables, call, code, retry_after_ms, now_ms):
--- a/fescueyard/keys/systems.py
+++ b/fescueyard/keys/systems.py
@@ -8,6 +8,7 @@
 from fescueyard.configuration import replica
 from fescueyard.core import codes
 from fescueyard.core import exceptions
+from fescueyard.core import http
 
 KEY_HEADER = "authorization"
 # Keys have a fixed form, so that a misplaced key is recognised too.
@@ -28,6 +29,7 @@
         "upgrade",
     }
 )
+_NOT_FORWARDED = _HOP_BY_HOP | {KEY_HEADER}
 _RESERVED_PREFIX = "fescueyard-"
 
 
@@ -109,12 +111,8 @@
         raise exceptions.RequestError(
             "a key belongs in the Authorization header only"
         )
-    headers = []
-    dropped = reserved_names | _connection_names(request.headers)
-    for header in request.headers:
-        if _may_forward(header) and header.name not in dropped:
-            headers.append(header)
-    return dataclasses.replace(request, target=target, headers=headers)
+    headers = _forwarded_headers(request.headers, reserved_names)
+    return http.HttpRequest(request.method, target, headers, request.body)
 
 
 def sanitize_response_headers(headers):
@@ -123,12 +121,7 @@
     :param headers: headers of the backend server's response.
     :returns: list of the other headers.
     """
-    dropped = _connection_names(headers)
-    return [
-        header
-        for header in headers
-        if _may_forward(header) and header.name not in dropped
-    ]
+    return _forwarded_headers(headers, frozenset())
 
 
 def _is_open_route(service, path):
@@ -143,19 +136,35 @@
     return key.strip() if scheme.lower() == "bearer" else ""
 
 
-def _connection_names(headers):
-    """Return the names of headers that the Connection headers list."""
-    return {
-        name.strip().lower()
-        for header in headers
-        if header.name == "connection"
-        for name in header.value.split(",")
-    }
-
+def _forwarded_headers(headers, reserved_names):
+    """Return the headers that may leave this process.
 
-def _may_forward(header):
-    if header.name in _HOP_BY_HOP or header.name == KEY_HEADER:
-        return False
-    if header.name.startswith(_RESERVED_PREFIX):
-        return False
-    return not KEY_PATTERN.search(header.value)
+    :param headers: list of :class:`~fescueyard.core.http.Header`.
+    :param reserved_names: names of further headers to remove.
+    """
+    kept = []
+    listed_names = None
+    for header in headers:
+        name = header.name
+        if name == "connection":
+            listed_names = (listed_names or set()) | _listed_names(header)
+        elif not (
+            name in _NOT_FORWARDED
+            or name in reserved_names
+            or name.startswith(_RESERVED_PREFIX)
+        ):
+            kept.append(header)
+    if listed_names:
+        kept = [header for header in kept if header.name not in listed_names]
+    # A key can't reach over a line break, so one search covers all values.
+    values = "\n".join([header.value for header in kept])
+    if KEY_PATTERN.search(values):
+        kept = [
+            header for header in kept if not KEY_PATTERN.search(header.value)
+        ]
+    return kept
+
+
+def _listed_names(header):
+    """Return the names of headers that a Connection header lists."""
+    return {name.strip().lower() for name in header.value.split(",")}
