--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -48,7 +48,7 @@
     _add_fallback_tokens(tables, customer, now_ms)
     waiting = tables.limits.waiting.get(customer, [])
     if not waiting and local_buckets.spend(bucket, now_ms):
-        _admit(tables, call_id, customer, 0.0, now_ms)
+        _admit(tables, call_id, customer, bucket, 0.0, now_ms)
     elif grantors.is_cut_off(tables, customer, now_ms):
         _reject_unknown(tables, call_id, customer, 0.0, now_ms)
     elif bucket.is_fallback and len(waiting) >= _fallback_yield(
@@ -191,15 +191,14 @@
         token_requests.send_due_requests(tables, now_ms)
 
 
-def _admit(tables, call_id, customer, waited_ms, now_ms):
-    bucket = grantors.own_bucket(tables, customer, now_ms)
+def _admit(tables, call_id, customer, bucket, waited_ms, now_ms):
     basis = decisions.Basis.GRANTED
     if bucket.is_fallback:
         basis = decisions.Basis.FALLBACK_SHARE
     decided = decisions.RateDecided(
         call_id, customer, codes.OK, basis, 0.0, waited_ms
     )
-    _publish(tables, decided, now_ms)
+    decisions.publish(tables, decided, bucket, now_ms)
 
 
 def _reject_exceeded(tables, call_id, customer, waited_ms, now_ms):
@@ -213,7 +212,7 @@
         bucket.exhausted_until_ms - now_ms,
         waited_ms,
     )
-    _publish(tables, decided, now_ms)
+    decisions.publish(tables, decided, bucket, now_ms)
 
 
 def _reject_unknown(tables, call_id, customer, waited_ms, now_ms):
@@ -226,11 +225,7 @@
         CUT_OFF_RETRY_AFTER_MS,
         waited_ms,
     )
-    _publish(tables, decided, now_ms)
-
-
-def _publish(tables, decided, now_ms):
-    bucket = grantors.own_bucket(tables, decided.customer, now_ms)
+    bucket = grantors.own_bucket(tables, customer, now_ms)
     decisions.publish(tables, decided, bucket, now_ms)
 
 
@@ -338,7 +333,7 @@
         while calls and local_buckets.spend(bucket, now_ms):
             call = calls.pop(0)
             waited_ms = now_ms - call.waiting_since_ms
-            _admit(tables, call.call_id, customer, waited_ms, now_ms)
+            _admit(tables, call.call_id, customer, bucket, waited_ms, now_ms)
         if not bucket.is_fallback:
             calls = _reject_surplus(tables, customer, calls, bucket, now_ms)
         _set_waiting(table, customer, calls)
