--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -454,6 +454,10 @@
         """Schedule the next tick; replace a timer that fires later."""
         if self._shutting_down:
             return
+        if self._timer is not None and self._tick_due_ms <= (
+            systems.earliest_due_ms(self._tables, now_ms)
+        ):
+            return
         due_ms = systems.next_due_ms(self._tables, now_ms)
         due_ms = max(due_ms, now_ms + TICK_MIN_MS)
         if self._timer is not None:
--- a/fescueyard/node/systems.py
+++ b/fescueyard/node/systems.py
@@ -13,6 +13,7 @@
 from fescueyard.idempotency import replica as claim_replica
 from fescueyard.ingress import systems as ingress
 from fescueyard.limits import systems as limits
+from fescueyard.limits import token_requests
 from fescueyard.node import pull
 from fescueyard.routing import balancer
 from fescueyard.routing import membership
@@ -65,6 +66,25 @@
     return due_ms
 
 
+def earliest_due_ms(tables, now_ms):
+    """Return a time before which no tick is due, at little cost.
+
+    A tick scheduled up to then needn't be compared with :func:`next_due_ms`,
+    which is the case after most messages.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: a time, at most what :func:`next_due_ms` returns.
+    """
+    if tables.limits.waiting:
+        return now_ms
+    return now_ms + min(
+        TICK_MAX_MS,
+        TIMER_GRANULARITY_MS,
+        token_requests.NODE_REPORT_INTERVAL_MS,
+    )
+
+
 def receive(message, tables, sender, now_ms):
     """Handle a message and the events that follow from it.
 
