--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -376,6 +376,8 @@
         if not server_limit.may_start(table.server_limit, now_ms):
             _schedule_next_token(tables, now_ms)
             return
+        if not table.queued_count:
+            return
         run = queueing.next_to_start(
             table,
             lambda queued_run: _may_start_run(tables, queued_run),
--- a/fescueyard/core/logs.py
+++ b/fescueyard/core/logs.py
@@ -35,13 +35,14 @@
     def try_spend(self, now_s):
         elapsed_s = now_s - self.refilled_at_s
         self.refilled_at_s = now_s
+        lines_left = self.lines_left
         if elapsed_s > 0:
-            self.lines_left += elapsed_s * DECISIONS_PER_S
-        self.lines_left = min(DECISIONS_BURST, self.lines_left)
-        if self.lines_left < 1:
-            return False
-        self.lines_left -= 1
-        return True
+            lines_left += elapsed_s * DECISIONS_PER_S
+        if lines_left > DECISIONS_BURST:
+            lines_left = DECISIONS_BURST
+        may_spend = lines_left >= 1
+        self.lines_left = lines_left - may_spend
+        return may_spend
 
 
 class Sink:
@@ -235,14 +236,13 @@
 
 def _write(level, component, event, fields, is_decision):
     now_s = time.time()
-    if not _sink.try_reserve(is_decision, now_s):
-        return
-    template = _line_template(level, component, event, tuple(fields))
-    _sink.append(template % (now_s, *fields.values()), now_s)
+    if _sink.try_reserve(is_decision, now_s):
+        template = _line_template(level, component, event, *fields)
+        _sink.append(template % (now_s, *fields.values()), now_s)
 
 
 @functools.lru_cache(LINE_TEMPLATES_MAX)
-def _line_template(level, component, event, names):
+def _line_template(level, component, event, *names):
     """Return the template of a line; formatting it is one call."""
     head = f"{level} [{component}] {event}".replace("%", "%%")
     return f"%.3f {head}" + "".join(f" {name}=%r" for name in names)
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -194,8 +194,7 @@
     lines = [f"{request.method} {request.target} HTTP/1.1"]
     if request.header("host") is None:
         lines.append(f"host: {address}")
-    for field in request.headers:
-        lines.append(f"{field.name}: {field.value}")
+    lines += [f"{field.name}: {field.value}" for field in request.headers]
     if request.body or request.method not in _BODYLESS_METHODS:
         lines.append(f"content-length: {len(request.body)}")
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
