Read at most 64 KiB at a time from connections

The event loop allocates 256 KiB for each read, which glibc maps anew: a read of 400 bytes costs 17 us of CPU time, with 64 KiB 2.8 us (loop of 20,000 reads over a socket pair).

--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -114,6 +114,7 @@
         """Set the socket's options."""
         self._transport = transport
         sockets.set_options(transport)
+        sockets.limit_reads(transport)
 
     def start(self, transfer):
         """Write a request."""
--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -20,6 +20,7 @@
 from fescueyard.core import problems
 from fescueyard.transport import http_parsing
 from fescueyard.transport import http_responses
+from fescueyard.transport import sockets
 
 LOG = logs.ComponentLogger("http")
 
@@ -86,6 +87,7 @@
     def connection_made(self, transport):
         """Start the idle timeout for the first request."""
         self._transport = transport
+        sockets.limit_reads(transport)
         self._connections.add(self)
         self._set_deadline(self._limits.idle_timeout_s)
 
--- a/fescueyard/transport/sockets.py
+++ b/fescueyard/transport/sockets.py
@@ -7,6 +7,7 @@
 KEEPALIVE_IDLE_S = 2
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+READ_BYTES_MAX = 64 * 1024
 
 
 def set_options(transport):
@@ -26,3 +27,14 @@
         (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
     ):
         connected_socket.setsockopt(level, option, value)
+
+
+def limit_reads(transport):
+    """Read at most :data:`READ_BYTES_MAX` at a time.
+
+    The event loop allocates as much for each read; its default of 256 KiB is
+    taken from the system instead of the heap and costs six times as much.
+
+    :param transport: asyncio transport of the connection.
+    """
+    transport.max_size = READ_BYTES_MAX
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -98,6 +98,7 @@
         """Start the handshake."""
         self._transport = transport
         sockets.set_options(transport)
+        sockets.limit_reads(transport)
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(HANDSHAKE_TIMEOUT_S, self._time_out)
         if self.address is not None:
