--- a/fescueyard/limits/fallback.py
+++ b/fescueyard/limits/fallback.py
@@ -57,13 +57,24 @@
     :returns: bool.
     """
     lease = tables.limits.fallback_lease
-    if now_ms - lease.sent_at_ms < HEARTBEAT_INTERVAL_MS:
+    if not is_heartbeat_interval_over(tables, now_ms):
         return False
     if not allowed_share(tables.configuration.state):
         return bool(lease.shares)
     return bool(own_shards or lease.shares)
 
 
+def is_heartbeat_interval_over(tables, now_ms):
+    """Return whether the last request is too old for a heartbeat to wait.
+
+    :param tables: the node's tables.
+    :param now_ms: the present time.
+    :returns: bool.
+    """
+    lease = tables.limits.fallback_lease
+    return now_ms - lease.sent_at_ms >= HEARTBEAT_INTERVAL_MS
+
+
 def requested_shares(tables, own_shards):
     """List the shares to confirm or to request; drop others from the lease.
 
--- a/fescueyard/limits/grantors.py
+++ b/fescueyard/limits/grantors.py
@@ -20,19 +20,6 @@
     return _grantor_of_shard(tables, shards.shard_of(customer), now_ms)
 
 
-def grantors_by_shard(tables, now_ms):
-    """List the nodes that grant this node's tokens, one for each shard.
-
-    :param tables: the node's tables.
-    :param now_ms: the present time.
-    :returns: list of ids by shard number; see :func:`grantor_of`.
-    """
-    return [
-        _grantor_of_shard(tables, shard, now_ms)
-        for shard in range(shards.GRANTORS_PER_ZONE)
-    ]
-
-
 def _grantor_of_shard(tables, shard, now_ms):
     """Choose a grantor that responds.
 
--- a/fescueyard/limits/token_requests.py
+++ b/fescueyard/limits/token_requests.py
@@ -42,10 +42,14 @@
     for customer in tables.limits.waiting:
         # Creates the bucket if the grantor changed while the calls waited.
         grantors.own_bucket(tables, customer, now_ms)
-    grantor_ids = grantors.grantors_by_shard(tables, now_ms)
+    grantor_ids = {}
     by_grantor = {}
     for customer in tables.limits.node_buckets:
-        grantor_id = grantor_ids[shards.shard_of(customer)]
+        shard = shards.shard_of(customer)
+        grantor_id = grantor_ids.get(shard)
+        if grantor_id is None:
+            grantor_id = grantors.grantor_of(tables, customer, now_ms)
+            grantor_ids[shard] = grantor_id
         if grantor_id != own_id:
             by_grantor.setdefault(grantor_id, []).append(customer)
     for grantor_id, customers in by_grantor.items():
@@ -234,6 +238,9 @@
 
 
 def _is_heartbeat_due(tables, now_ms):
+    # Asked at each tick and message, so the cheapest condition comes first.
+    if not fallback.is_heartbeat_interval_over(tables, now_ms):
+        return False
     own_shards = grantors.own_shards(tables)
     return fallback.is_heartbeat_due(tables, own_shards, now_ms)
 
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -491,8 +491,6 @@
         Also requests the backend server's id while it is unknown.
         """
         state = self._tables.configuration.state
-        if state.version == self._applied_version:
-            return
         self._applied_version = state.version
         self._query_backend_id()
         try:
@@ -518,9 +516,13 @@
         limits.idle_timeout_s = listener.idle_timeout_ms / 1000
 
     def _process_pending(self, now_ms):
-        self._apply_configuration()
-        systems.handle_events(self._tables, now_ms)
-        self._apply_effects()
+        tables = self._tables
+        if tables.configuration.state.version != self._applied_version:
+            self._apply_configuration()
+        if tables.events:
+            systems.handle_events(tables, now_ms)
+        if tables.effects:
+            self._apply_effects()
         self._schedule_tick(now_ms)
 
     def _apply_effects(self):
