--- a/fescueyard/idempotency/models.py
+++ b/fescueyard/idempotency/models.py
@@ -115,6 +115,8 @@
         by call id.
     :param held: claims held by calls of this node, by call id.
     :param expiry_due_ms: when expired claims are deleted next.
+    :param sync_due_ms: when the first group is synchronised next; infinite
+        when all are synchronised.
     """
 
     groups: dict[int, ReplicaGroup] = dataclasses.field(default_factory=dict)
@@ -128,6 +130,7 @@
         default=0, metadata=dumps.written_as("last_ask_id")
     )
     expiry_due_ms: float = 0.0
+    sync_due_ms: float = 0.0
 
 
 @dataclasses.dataclass
--- a/fescueyard/idempotency/replica.py
+++ b/fescueyard/idempotency/replica.py
@@ -33,16 +33,27 @@
     if table.applied_version != version:
         table.applied_version = version
         _apply_configuration(tables, now_ms)
-    for group_number, group in table.groups.items():
-        if not group.synced and now_ms >= group.sync_due_ms:
-            group.sync_due_ms = now_ms + SYNC_INTERVAL_MS
-            _synchronise(tables, group_number, group, now_ms)
+        table.sync_due_ms = now_ms
+    if now_ms >= table.sync_due_ms:
+        _synchronise_due_groups(tables, now_ms)
     if now_ms >= table.expiry_due_ms:
         table.expiry_due_ms = now_ms + EXPIRY_INTERVAL_MS
         for group in table.groups.values():
             _delete_expired(group, now_ms)
 
 
+def _synchronise_due_groups(tables, now_ms):
+    table = tables.claims
+    table.sync_due_ms = float("inf")
+    for group_number, group in table.groups.items():
+        if group.synced:
+            continue
+        if now_ms >= group.sync_due_ms:
+            group.sync_due_ms = now_ms + SYNC_INTERVAL_MS
+            _synchronise(tables, group_number, group, now_ms)
+        table.sync_due_ms = min(table.sync_due_ms, group.sync_due_ms)
+
+
 def decide_claim(tables, request, now_ms):
     """Grant a claim, or return the state that prevents it.
 
