--- a/tests/core/test_logs.py
+++ b/tests/core/test_logs.py
@@ -83,3 +83,22 @@
     lines = path.read_text().splitlines()
     assert len(lines) < 2 * logs.DECISIONS_BURST
     assert "process_failed" in "".join(lines[-2:])
+
+
+# Lines are formatted by templates, in which a percent sign has a meaning.
+def test_line_has_all_fields_and_a_percent_sign_in_its_event(tmp_path):
+    path = tmp_path / "log"
+    descriptor = os.open(path, os.O_CREAT | os.O_WRONLY)
+    logs.open_sink(descriptor)
+    try:
+        logger = logs.ComponentLogger("test")
+        logger.info("50 % done", path="a%s", count=3, text="x\ny", none=None)
+        logger.info("50 % done")
+    finally:
+        logs.close_sink()
+        os.close(descriptor)
+    lines = [line.partition(" ")[2] for line in path.read_text().splitlines()]
+    assert lines == [
+        r"I [test] 50 % done path='a%s' count=3 text='x\ny' none=None",
+        "I [test] 50 % done",
+    ]
--- a/tests/transport/test_streams.py
+++ b/tests/transport/test_streams.py
@@ -188,3 +188,20 @@
                 await asyncio.sleep(0.001)
 
     asyncio.run(asyncio.wait_for(run(), 5))
+
+
+# Frames are taken out of the received chunk, and joined only when split.
+@pytest.mark.parametrize("piece_bytes", [1, 3, 7, 64, 1_000])
+def test_frames_are_found_in_pieces_of_any_size(piece_bytes):
+    payloads = [b"a" * size for size in (1, 0, 5, 300, 2)]
+    data = b"".join(
+        streams.LENGTH.pack(len(payload)) + b"mac!" + payload
+        for payload in payloads
+    )
+    frame_buffer = streams._FrameBuffer()
+    frames = []
+    for start in range(0, len(data), piece_bytes):
+        frame_buffer.feed(data[start : start + piece_bytes])
+        while (frame := frame_buffer.pop_frame(4, 1_000)) is not None:
+            frames.append(frame)
+    assert frames == [b"mac!" + payload for payload in payloads]
