--- a/fescueyard/limits/systems.py
+++ b/fescueyard/limits/systems.py
@@ -49,7 +49,7 @@
     outlook = rate_outlook(tables, customer, call_wait_max_ms, now_ms)
     if outlook is decisions.Outlook.TOKEN:
         local_buckets.spend(bucket, now_ms)
-        _admit(tables, call_id, customer, 0.0, now_ms)
+        _admit(tables, call_id, customer, bucket, 0.0, now_ms)
     elif outlook is decisions.Outlook.CUT_OFF:
         _reject_unknown(tables, call_id, customer, 0.0, now_ms)
     elif outlook is decisions.Outlook.EXCEEDED:
@@ -216,15 +216,14 @@
         token_requests.send_due_requests(tables, now_ms)
 
 
-def _admit(tables, call_id, customer, waited_ms, now_ms):
-    bucket = grantors.own_bucket(tables, customer, now_ms)
+def _admit(tables, call_id, customer, bucket, waited_ms, now_ms):
     basis = decisions.Basis.GRANTED
     if bucket.is_fallback:
         basis = decisions.Basis.FALLBACK_SHARE
     decided = decisions.RateDecided(
         call_id, customer, codes.OK, basis, 0.0, waited_ms
     )
-    _publish(tables, decided, now_ms)
+    decisions.publish(tables, decided, bucket, now_ms)
 
 
 def _reject_exceeded(tables, call_id, customer, waited_ms, now_ms):
@@ -238,7 +237,7 @@
         bucket.exhausted_until_ms - now_ms,
         waited_ms,
     )
-    _publish(tables, decided, now_ms)
+    decisions.publish(tables, decided, bucket, now_ms)
 
 
 def _reject_unknown(tables, call_id, customer, waited_ms, now_ms):
@@ -251,11 +250,7 @@
         CUT_OFF_RETRY_AFTER_MS,
         waited_ms,
     )
-    _publish(tables, decided, now_ms)
-
-
-def _publish(tables, decided, now_ms):
-    bucket = grantors.own_bucket(tables, decided.customer, now_ms)
+    bucket = grantors.own_bucket(tables, customer, now_ms)
     decisions.publish(tables, decided, bucket, now_ms)
 
 
@@ -371,7 +366,7 @@
         while calls and local_buckets.spend(bucket, now_ms):
             call = calls.pop(0)
             waited_ms = now_ms - call.waiting_since_ms
-            _admit(tables, call.call_id, customer, waited_ms, now_ms)
+            _admit(tables, call.call_id, customer, bucket, waited_ms, now_ms)
         if not bucket.is_fallback:
             calls = _reject_surplus(tables, customer, calls, bucket, now_ms)
         _set_waiting(table, customer, calls)
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -467,6 +467,10 @@
         """Schedule the next tick; replace a timer that fires later."""
         if self._shutting_down:
             return
+        if self._timer is not None and self._tick_due_ms <= (
+            systems.earliest_due_ms(self._tables, now_ms)
+        ):
+            return
         due_ms = systems.next_due_ms(self._tables, now_ms)
         due_ms = max(due_ms, now_ms + TICK_MIN_MS)
         if self._timer is not None:
@@ -500,8 +504,6 @@
         Also requests the backend server's id while it is unknown.
         """
         state = self._tables.configuration.state
-        if state.version == self._applied_version:
-            return
         self._applied_version = state.version
         self._query_backend_id()
         try:
@@ -527,9 +529,13 @@
         limits.idle_timeout_s = listener.idle_timeout_ms / 1000
 
     def _process_pending(self, now_ms):
-        self._apply_configuration()
-        systems.handle_events(self._tables, now_ms)
-        self._apply_effects()
+        tables = self._tables
+        if tables.configuration.state.version != self._applied_version:
+            self._apply_configuration()
+        if tables.events:
+            systems.handle_events(tables, now_ms)
+        if tables.effects:
+            self._apply_effects()
         self._schedule_tick(now_ms)
 
     def _apply_effects(self):
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -115,6 +115,7 @@
         """Set the socket's options."""
         self._transport = transport
         sockets.set_options(transport)
+        sockets.limit_reads(transport)
 
     def is_idle(self):
         """Return whether no request is in progress."""
