Exchange membership updates between zones through relays

Cause: each process probed and gossiped with all others, so a change of one member crossed between zones hundreds of times, and idle nodes probed other zones most of the time.

Change: with a slow link, processes probe and gossip inside their zone. Two relays of each zone probe those of other zones each 500 ms, send them the updates of their zone three times, and compare tables each second. A zone that isn't heard for 1.1 s is probed by many at once, and so are its dead processes once it is heard again. Failures that the table of another zone reports of a third one are not taken over. Seeds are asked in turn, since a random choice asked one that was down for up to 3.5 s.

--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -5,7 +5,9 @@
 refutes that with a higher incarnation. Updates are piggybacked on probes and
 sent in small gossip datagrams. The cost per process does not grow with the
 fleet, except that each update is retransmitted a logarithmic number of times.
-:mod:`fescueyard.routing.table_sync` compares whole tables.
+:mod:`fescueyard.routing.table_sync` compares whole tables. Where bytes between
+zones are expensive, :mod:`fescueyard.routing.zone_gossip` chooses the
+processes that are contacted.
 """
 
 import dataclasses
@@ -15,7 +17,9 @@
 from fescueyard.core import effects
 from fescueyard.routing import messages
 from fescueyard.routing import models
+from fescueyard.routing import zone_gossip
 from fescueyard.routing import zone_health
+from fescueyard.routing import zone_relays
 
 PROBE_INTERVAL_MS = 500
 INDIRECT_PROBE_DELAY_MS = 250
@@ -30,6 +34,8 @@
 GOSSIP_INTERVAL_MS = 200
 GOSSIP_FANOUT = 3
 MEMBERS_PER_DATAGRAM = 6
+# Gossip datagrams to the same process at once inside a zone.
+ZONE_DATAGRAMS_MAX = 4
 RETRANSMIT_FACTOR = 3
 # Time after its start in which a process learns of changes from the tables of
 # others, and passes on no more than what they do not tell it.
@@ -93,6 +99,9 @@
     if now_ms >= table.probe_due_ms:
         table.probe_due_ms = now_ms + PROBE_INTERVAL_MS
         _probe_next(tables, now_ms)
+    if table.saves_cross_zone:
+        for node_id in zone_gossip.zone_probe_targets(tables, now_ms):
+            _probe(tables, node_id, [table.own], now_ms)
     if now_ms >= table.dead_probe_due_ms:
         table.dead_probe_due_ms = now_ms + DEAD_PROBE_INTERVAL_MS
         _probe_dead(tables, now_ms)
@@ -144,15 +153,23 @@
 
 @dispatch.receive.register
 def _receive_ping(message: messages.Ping, tables, sender, now_ms):
-    merge(tables, message.members, now_ms)
+    incarnation = tables.members.own.incarnation
+    merge(tables, message.members, now_ms, learned_directly=True)
+    zone_gossip.record_heard(tables.members, message.sender_id, now_ms)
     reply_to = _address_of(tables, message.sender_id)
     if reply_to is None:
         # An unknown sender puts its own member entry first.
         if not message.members:
             return
         reply_to = message.members[0].address
-    members = _take_updates(tables)
     known = tables.members.rows.get(message.sender_id)
+    if _passes_updates_to(tables.members, known):
+        members = _take_updates(tables)
+    elif tables.members.own.incarnation != incarnation:
+        # The sender had a suspicion that this process has refuted.
+        members = [tables.members.own]
+    else:
+        members = []
     if known is not None and known.status == models.DEAD:
         # The sender refutes this with a higher incarnation.
         members = [tables.members.own, known] + members[:-2]
@@ -162,7 +179,8 @@
 
 @dispatch.receive.register
 def _receive_ack(message: messages.Ack, tables, sender, now_ms):
-    merge(tables, message.members, now_ms)
+    merge(tables, message.members, now_ms, learned_directly=True)
+    zone_gossip.record_heard(tables.members, message.node_id, now_ms)
     table = tables.members
     relayed = table.relayed_probes.pop(message.probe_id, None)
     if relayed is not None:
@@ -192,12 +210,21 @@
     merge(tables, message.members, now_ms)
 
 
-def merge(tables, members, now_ms):
+def _passes_updates_to(table, member):
+    """Return whether acks to a process carry updates."""
+    if not table.saves_cross_zone:
+        return True
+    return member is None or member.zone == table.own.zone
+
+
+def merge(tables, members, now_ms, learned_directly=False):
     """Apply entries received from another process.
 
     :param tables: the process's tables.
     :param members: the entries.
     :param now_ms: the present time.
+    :param learned_directly: whether they came with a probe of this process
+        or with one that it received.
     """
     for member in members:
         if member.status not in _STATUS_ORDER:
@@ -205,7 +232,7 @@
         if member.node_id == tables.members.own.node_id:
             _refute(tables, member, now_ms)
         elif _is_newer(member, tables.members.rows.get(member.node_id)):
-            _apply_update(tables, member, now_ms)
+            _apply_update(tables, member, now_ms, learned_directly)
 
 
 def _is_newer(member, current):
@@ -227,7 +254,7 @@
     _publish_own(tables, own, now_ms)
 
 
-def _apply_update(tables, member, now_ms):
+def _apply_update(tables, member, now_ms, learned_directly=False):
     table = tables.members
     previous = table.rows.get(member.node_id)
     table.version += 1
@@ -259,6 +286,9 @@
         table.updates[member.node_id] = models.PendingUpdate(
             member, _transmission_count(table)
         )
+        if table.saves_cross_zone:
+            zone_gossip.queue_for_relays(table, member, learned_directly)
+            table.gossip_due_ms = min(table.gossip_due_ms, now_ms)
     else:
         table.updates.pop(member.node_id, None)
 
@@ -357,7 +387,10 @@
 
 
 def _transmission_count(table):
-    return RETRANSMIT_FACTOR * math.ceil(math.log2(len(table.rows) + 1))
+    count = len(table.rows)
+    if table.saves_cross_zone:
+        count = len(zone_gossip.gossip_candidates(table)) + 1
+    return RETRANSMIT_FACTOR * math.ceil(math.log2(count + 1))
 
 
 def _take_updates(tables):
@@ -389,7 +422,7 @@
         if member.status == models.SUSPECT:
             if now_ms - since_ms > SUSPICION_TIMEOUT_MS:
                 dead = dataclasses.replace(member, status=models.DEAD)
-                _apply_update(tables, dead, now_ms)
+                _apply_update(tables, dead, now_ms, learned_directly=True)
         elif now_ms - since_ms > LOST_MEMBER_RETENTION_MS:
             del table.rows[node_id]
             table.digest ^= models.member_digest(member)
@@ -415,7 +448,7 @@
     member = tables.members.rows.get(node_id)
     if member is not None and member.status == models.ALIVE:
         suspect = dataclasses.replace(member, status=models.SUSPECT)
-        _apply_update(tables, suspect, now_ms)
+        _apply_update(tables, suspect, now_ms, learned_directly=True)
 
 
 def _probe_indirectly(tables, probe_id, probe):
@@ -423,9 +456,14 @@
     target = table.rows.get(probe.node_id)
     if target is None:
         return
-    others = [
-        node_id for node_id in alive_others(table) if node_id != probe.node_id
-    ]
+    if table.saves_cross_zone:
+        others = zone_gossip.indirect_candidates(table, target)
+    else:
+        others = [
+            node_id
+            for node_id in alive_others(table)
+            if node_id != probe.node_id
+        ]
     count = min(INDIRECT_PROBES, len(others))
     for node_id in tables.random.sample(others, count):
         request = messages.PingRequest(
@@ -439,13 +477,16 @@
 def _probe_next(tables, now_ms):
     table = tables.members
     node_id = _next_probe_target(tables)
-    if node_id is None:
-        return
+    if node_id is not None:
+        _probe(tables, node_id, [table.own] + _take_updates(tables), now_ms)
+
+
+def _probe(tables, node_id, members, now_ms):
+    table = tables.members
     table.last_probe_id += 1
     table.probes[table.last_probe_id] = models.Probe(
         node_id, now_ms + INDIRECT_PROBE_DELAY_MS, now_ms + PROBE_TIMEOUT_MS
     )
-    members = [table.own] + _take_updates(tables)
     ping = messages.Ping(table.last_probe_id, table.own.node_id, members)
     tables.effects.append(
         effects.SendDatagram(table.rows[node_id].address, ping)
@@ -460,20 +501,26 @@
         member = table.rows[node_id]
         if member.status != models.DEAD or member.address in table.by_address:
             continue
-        if now_ms - since_ms < DEAD_PROBE_DURATION_MS:
+        if now_ms - since_ms < DEAD_PROBE_DURATION_MS or zone_gossip.is_back(
+            table, member.zone, now_ms
+        ):
             dead.append(member)
     if not dead:
         return
-    member = tables.random.choice(dead)
-    ping = messages.Ping(0, table.own.node_id, [table.own, member])
-    tables.effects.append(effects.SendDatagram(member.address, ping))
+    if table.saves_cross_zone:
+        targets = zone_gossip.dead_probe_targets(tables, dead, now_ms)
+    else:
+        targets = [tables.random.choice(dead)]
+    for member in targets:
+        ping = messages.Ping(0, table.own.node_id, [table.own, member])
+        tables.effects.append(effects.SendDatagram(member.address, ping))
 
 
 def _next_probe_target(tables):
     table = tables.members
     while True:
         if not table.probe_order:
-            table.probe_order = alive_others(table)
+            table.probe_order = _probe_candidates(table)
             tables.random.shuffle(table.probe_order)
             if not table.probe_order:
                 return None
@@ -482,13 +529,22 @@
             return node_id
 
 
+def _probe_candidates(table):
+    if table.saves_cross_zone:
+        return zone_relays.own_zone_others(table)
+    return alive_others(table)
+
+
 def _gossip(tables):
     table = tables.members
+    if table.saves_cross_zone:
+        for node_id, members in zone_gossip.take_relay_datagrams(tables):
+            gossip = messages.Gossip(members)
+            address = table.rows[node_id].address
+            tables.effects.append(effects.SendDatagram(address, gossip))
     if not table.updates:
         return
-    others = alive_others(table)
-    count = min(GOSSIP_FANOUT, len(others))
-    for node_id in tables.random.sample(others, count):
+    for node_id in _gossip_targets(tables):
         members = _take_updates(tables)
         if members:
             tables.effects.append(
@@ -496,3 +552,20 @@
                     table.rows[node_id].address, messages.Gossip(members)
                 )
             )
+
+
+def _gossip_targets(tables):
+    table = tables.members
+    if not table.saves_cross_zone:
+        others = alive_others(table)
+        count = min(GOSSIP_FANOUT, len(others))
+        return tables.random.sample(others, count)
+    others = zone_gossip.gossip_candidates(table)
+    targets = tables.random.sample(others, min(GOSSIP_FANOUT, len(others)))
+    if table.own.node_id in table.updates:
+        # The relays pass it on to the other zones.
+        relays = zone_gossip.own_relays(table)
+        targets = list(dict.fromkeys(relays + targets))
+    # Many updates are pending when a zone is cut off or comes back.
+    datagrams = math.ceil(len(table.updates) / MEMBERS_PER_DATAGRAM)
+    return targets * min(datagrams, ZONE_DATAGRAMS_MAX)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -193,6 +193,13 @@
         (:mod:`fescueyard.routing.zone_relays`).
     :param relays_by_zone: ids of the relays of each zone.
     :param relays_version: ``version`` that they were derived from.
+    :param relay_updates: updates that are being sent to the relays of other
+        zones.
+    :param zones_heard_ms: when another zone last responded to this process as
+        a relay.
+    :param zones_back_ms: when another zone first responded again, or to this
+        process as a relay.
+    :param zone_probe_due_ms: when other zones are next probed.
     :param joined: whether a process of the own zone has been known; used
         with ``saves_cross_zone``.
     :param nodes_alive: nodes that are alive or suspect, this one included.
@@ -243,6 +250,12 @@
         default_factory=dict
     )
     relays_version: int = -1
+    relay_updates: dict[str, PendingUpdate] = dataclasses.field(
+        default_factory=dict
+    )
+    zones_heard_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    zones_back_ms: dict[str, float] = dataclasses.field(default_factory=dict)
+    zone_probe_due_ms: float = 0.0
     joined: bool = False
     nodes_alive: int = 0
     nodes_seen_max: int = 1
--- a/fescueyard/routing/table_sync.py
+++ b/fescueyard/routing/table_sync.py
@@ -11,12 +11,15 @@
 zone asks a seed for the processes of its zone first.
 """
 
+import zlib
+
 from fescueyard.core import dispatch
 from fescueyard.core import effects
 from fescueyard.core import packing
 from fescueyard.routing import membership
 from fescueyard.routing import messages
 from fescueyard.routing import models
+from fescueyard.routing import zone_gossip
 from fescueyard.routing import zone_relays
 
 SYNC_INTERVAL_MS = 10_000
@@ -79,17 +82,19 @@
     if not table.joined and _may_join(table, now_ms):
         table.sync_due_ms = now_ms + SYNC_INTERVAL_FAST_MS
         if table.seeds:
-            address = tables.random.choice(table.seeds)
+            address = _next_seed(
+                table, table.seeds, SYNC_INTERVAL_FAST_MS, now_ms
+            )
             _ask(tables, address, table.own.zone)
         return
     if zone_relays.is_relay(table):
         interval_ms = RELAY_SYNC_INTERVAL_MS
-        addresses = _addresses_for_relay(tables)
+        if starting:
+            interval_ms = SYNC_INTERVAL_FAST_MS
+        addresses = _addresses_for_relay(tables, interval_ms, now_ms)
     else:
-        interval_ms = SYNC_INTERVAL_MS
+        interval_ms = SYNC_INTERVAL_FAST_MS if starting else SYNC_INTERVAL_MS
         addresses = _addresses_in_zone(tables, starting)
-    if starting:
-        interval_ms = SYNC_INTERVAL_FAST_MS
     table.sync_due_ms = now_ms + interval_ms
     for address in addresses:
         _ask(tables, address)
@@ -104,8 +109,17 @@
     )
 
 
-def _addresses_for_relay(tables):
-    """Choose a relay of each zone, and a seed that is no member at times."""
+def _next_seed(table, seeds, interval_ms, now_ms):
+    """Choose each seed in turn, so that one that is down costs one request."""
+    first = zlib.crc32(table.own.node_id.encode())
+    return seeds[(first + int(now_ms // interval_ms)) % len(seeds)]
+
+
+def _addresses_for_relay(tables, interval_ms, now_ms):
+    """Choose a relay of each zone, and a seed that is no member.
+
+    After a long cut only seeds reconnect zones that consider each other dead.
+    """
     table = tables.members
     choices = [
         zone_relays.relays_of(table, zone)
@@ -124,8 +138,8 @@
         if node_ids
     ]
     unknown = [seed for seed in table.seeds if seed not in table.by_address]
-    if unknown and (not addresses or tables.random.random() < SEED_CHANCE):
-        addresses.append(tables.random.choice(unknown))
+    if unknown:
+        addresses.append(_next_seed(table, unknown, interval_ms, now_ms))
     return addresses
 
 
@@ -208,8 +222,10 @@
     if message.packed:
         batch = packing.unpack(messages.MemberBatch, message.packed)
         members = members + batch.members
-    membership.merge(tables, members, now_ms)
     table = tables.members
+    if table.saves_cross_zone:
+        members = zone_gossip.credible(table, members, message.responder_id)
+    membership.merge(tables, members, now_ms)
     if table.saves_cross_zone and not table.joined:
         table.joined = bool(zone_relays.own_zone_others(table))
         if table.joined:
