Test a server that is cold again without a restart

A server that stays up may become cold again. With heartbeats the limit holds once one says so; without them, once the health path has been requested, which happens 2.5 s after the last heartbeat while requests arrive. Without that request the test fails.

--- a/tests/admission/test_cold_limit.py
+++ b/tests/admission/test_cold_limit.py
@@ -205,6 +205,26 @@
     assert any(_play(seed) > ALLOWED for seed in range(12))
 
 
+@pytest.mark.parametrize("announces", [True, False])
+def test_server_that_is_cold_again_without_a_restart(announces):
+    """A health response tells it when its heartbeats no longer arrive."""
+    world = _start_fleet(1)
+    _load(world, 6_000)
+    world.run(1_000)
+    backend = world.nodes["orders-zone-a"].backend
+    backend.announcement_delay_ms = 0.0
+    backend.announces = announces
+    backend.cold_until_ms = world.now_ms + 5_000
+    told_ms = 1_000 if announces else cold_limit.HEARTBEAT_OVERDUE_MS
+    cold_at_ms = world.now_ms
+    world.run(told_ms + (100 if announces else 1_100))
+    since_ms = world.now_ms
+    world.run(1_300)
+    before_ms = cold_at_ms - 1_000
+    assert _most_while_cold(world, [("orders-zone-a", before_ms)]) > ALLOWED
+    assert _most_while_cold(world, [("orders-zone-a", since_ms)]) <= ALLOWED
+
+
 @pytest.mark.parametrize(
     "text", ["", "-1", "nan", "1e9", "inf", "\u00b2", "3s", "99999999999"]
 )
