Keep a server warm whose older connections still respond

Connections end with their process, so a response on one that was opened before the first sign shows that the process is the same, and what was known before holds again. The first of the new tests fails without it; the others guard against taking a later process for it.

--- a/fescueyard/admission/cold_limit.py
+++ b/fescueyard/admission/cold_limit.py
@@ -35,6 +35,22 @@
 HEALTH_INTERVAL_MS = 1_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownProcess:
+    """What was known of the server's process before the signs of another one.
+
+    :param until_ms: see :class:`ColdLimit`.
+    :param reason: see :class:`ColdLimit`.
+    :param broken_at_ms: see :class:`ColdLimit`.
+    :param certain_until_ms: connections opened before then are its own.
+    """
+
+    until_ms: float
+    reason: str
+    broken_at_ms: float
+    certain_until_ms: float
+
+
 @dataclasses.dataclass(slots=True)
 class ColdLimit:
     """State of the limit of one backend server.
@@ -46,6 +62,8 @@
     :param broken_at_ms: when there was last a sign that the server may be
         another process.
     :param break_count: number of such signs.
+    :param before_break: what is true again if the process turns out to be
+        the same; None when nothing is in doubt.
     :param heard_at_ms: when the server last said how long it is cold, in a
         message that can't be of the process before.
     :param queried_at_ms: when its health path was last requested.
@@ -61,25 +79,57 @@
     reason: str = "node_started"
     broken_at_ms: float = float("-inf")
     break_count: int = 0
+    before_break: KnownProcess | None = None
     heard_at_ms: float = float("-inf")
     queried_at_ms: float = float("-inf")
     ticked_at_ms: float | None = None
     reported_until_ms: float | None = None
 
 
-def record_break(limit, reason, now_ms):
+def record_break(limit, reason, now_ms, certain_until_ms=None):
     """Record a sign that the server may be another process from now on.
 
     :param limit: :class:`ColdLimit`.
     :param reason: what was seen, for the log.
     :param now_ms: the present time.
+    :param certain_until_ms: until when it was the process known; the present
+        when left out.
     """
+    if limit.before_break is None:
+        limit.before_break = KnownProcess(
+            limit.until_ms,
+            limit.reason,
+            limit.broken_at_ms,
+            now_ms if certain_until_ms is None else certain_until_ms,
+        )
     limit.break_count += 1
     limit.broken_at_ms = now_ms
     limit.until_ms = math.inf
     limit.reason = reason
 
 
+def record_connection(limit, connected_at_ms):
+    """Record a response on a connection that was opened some time ago.
+
+    Load pattern: a server spoils a part of its responses, or closes idle
+    connections, while it is warm and under full load. Connections end with
+    their process, so one that is older than the break and still carries
+    responses shows that the process is the same.
+
+    :param limit: :class:`ColdLimit`.
+    :param connected_at_ms: when the connection was opened.
+    :returns: whether this shows that the process is the same.
+    """
+    known = limit.before_break
+    if known is None or connected_at_ms >= known.certain_until_ms:
+        return False
+    limit.before_break = None
+    limit.until_ms = known.until_ms
+    limit.reason = known.reason
+    limit.broken_at_ms = known.broken_at_ms
+    return True
+
+
 def record_response(limit, run_started_at_ms, cold_start_ms, now_ms):
     """Record a response, which bounds how long an unknown process is cold.
 
@@ -91,6 +141,7 @@
     :param now_ms: the present time.
     """
     if math.isinf(limit.until_ms) and run_started_at_ms > limit.broken_at_ms:
+        limit.before_break = None
         limit.until_ms = now_ms + cold_start_ms
         limit.reason = "first_response"
 
@@ -150,6 +201,7 @@
     if break_count != limit.break_count:
         return False
     limit.heard_at_ms = now_ms
+    limit.before_break = None
     limit.until_ms = now_ms + cold_ms
     limit.reason = "health_response"
     return True
@@ -178,7 +230,7 @@
     last_ms = limit.ticked_at_ms
     if last_ms is not None and now_ms - last_ms > STALL_MS:
         limit.ticked_at_ms = now_ms
-        record_break(limit, "node_stalled", now_ms)
+        record_break(limit, "node_stalled", now_ms, last_ms)
 
 
 def is_cold(limit, now_ms):
--- a/fescueyard/admission/start_limits.py
+++ b/fescueyard/admission/start_limits.py
@@ -254,6 +254,18 @@
     _report(tables, now_ms)
 
 
+def record_connection(tables, connected_at_ms, now_ms):
+    """Record a response on a connection that was opened some time ago.
+
+    :param tables: the node's tables.
+    :param connected_at_ms: when the connection was opened.
+    :param now_ms: the present time.
+    """
+    limit = tables.runs.cold_limit
+    if cold_limit.record_connection(limit, connected_at_ms):
+        _report(tables, now_ms)
+
+
 def record_health_request(tables, now_ms):
     """Count a request for the health path of the backend server.
 
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -133,7 +133,15 @@
         _abort_run(tables, run, codes.CANCELLED_RUNNING, now_ms)
 
 
-def finish_run(tables, run_id, response, code, now_ms, notice=None):
+def finish_run(
+    tables,
+    run_id,
+    response,
+    code,
+    now_ms,
+    notice=None,
+    connected_at_ms=None,
+):
     """Handle the completion of a run at the backend server.
 
     :param tables: the node's tables.
@@ -143,8 +151,12 @@
     :param now_ms: the present time.
     :param notice: what the backend server said of itself, a
         :class:`~fescueyard.core.notices.ServerNotice`; None for nothing.
+    :param connected_at_ms: when the connection was opened that the server has
+        responded on; None without a response, or when not known.
     """
     table = tables.runs
+    if connected_at_ms is not None:
+        start_limits.record_connection(tables, connected_at_ms, now_ms)
     run = table.rows.get(run_id)
     if run is None:
         tables.metrics.count("late_backend_answers")
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -554,6 +554,7 @@
             result.code,
             now_ms,
             result.notice,
+            result.connected_at_ms,
         )
         self._process_pending(now_ms)
 
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from fescueyard.core import clock
 from fescueyard.core import codes
 from fescueyard.core import http
 from fescueyard.core import logs
@@ -47,11 +48,14 @@
     :param code: result code; ``OK`` with a response.
     :param notice: what the backend server says of itself in the response, or
         in its refusal; None without either.
+    :param connected_at_ms: when the connection was opened that the server has
+        responded on; None without a response.
     """
 
     response: http.HttpResponse | None
     code: codes.ResultCode
     notice: notices.ServerNotice | None = None
+    connected_at_ms: float | None = None
 
 
 @dataclasses.dataclass
@@ -101,6 +105,7 @@
         self.idle_max_s = IDLE_MAX_S
         self.usable = True
         self.aborted = False
+        self.connected_at_ms = 0.0
         self._client = client
         self._transport = None
         self._parser = httptools.HttpResponseParser(self)
@@ -114,6 +119,7 @@
     def connection_made(self, transport):
         """Set the socket's options."""
         self._transport = transport
+        self.connected_at_ms = clock.now_ms()
         sockets.set_options(transport)
         sockets.limit_reads(transport)
 
@@ -307,14 +313,18 @@
     def _classify(self, response, transfer):
         notice = notices.parse(response.headers, self._client.names)
         if response.header(self._client.names.not_run) is not None:
-            return BackendResult(None, codes.BACKEND_REFUSED, notice)
+            return BackendResult(
+                None, codes.BACKEND_REFUSED, notice, self.connected_at_ms
+            )
         if response.status == WRONG_INSTANCE_STATUS:
             if transfer.expects_instance:
                 return BackendResult(None, codes.WRONG_INSTANCE)
         complete_response = http.HttpResponse(
             response.status, response.headers, bytes(response.body)
         )
-        return BackendResult(complete_response, codes.OK, notice)
+        return BackendResult(
+            complete_response, codes.OK, notice, self.connected_at_ms
+        )
 
     def _handle_parse_error(self):
         if self._transfer is None:
--- a/tests/admission/test_cold_limit.py
+++ b/tests/admission/test_cold_limit.py
@@ -271,3 +271,36 @@
         world.start_backend(name)
     world.run(3_000)
     assert all(call.response.status == 200 for call in calls)
+
+
+def test_older_connection_that_still_responds_ends_the_doubt():
+    """Guards against a server at full load that is limited as if cold.
+
+    It spoiled some responses; each of them counted as a possible restart.
+    """
+    limit = cold_limit.ColdLimit(until_ms=0.0)
+    cold_limit.record_break(limit, "short_answer", 1_000.0)
+    assert cold_limit.is_cold(limit, 1_000.0)
+    assert cold_limit.record_connection(limit, 400.0)
+    assert not cold_limit.is_cold(limit, 1_001.0)
+
+
+def test_connection_to_a_later_process_ends_no_doubt():
+    """Guards against a cold server that is taken for its predecessor.
+
+    A second connection of the predecessor may be found closed when one to the
+    later process is open already.
+    """
+    limit = cold_limit.ColdLimit(until_ms=0.0)
+    cold_limit.record_break(limit, "connection_closed", 1_000.0)
+    cold_limit.record_break(limit, "connection_closed", 1_600.0)
+    assert not cold_limit.record_connection(limit, 1_500.0)
+    assert cold_limit.is_cold(limit, 1_700.0)
+
+
+def test_connection_opened_during_a_stall_ends_no_doubt():
+    """Guards against a restart that a suspended node did not see."""
+    limit = cold_limit.ColdLimit(until_ms=0.0, ticked_at_ms=1_000.0)
+    cold_limit.check_stall(limit, 3_000.0)
+    assert not cold_limit.record_connection(limit, 2_999.0)
+    assert cold_limit.record_connection(limit, 900.0)
