--- a/demo/fleet.py
+++ b/demo/fleet.py
@@ -36,6 +36,7 @@
     :param listen_address: where the node listens for other processes.
     :param backend_address: where the node listens for backend servers.
     :param server_address: where the backend server listens.
+    :param settings: further settings of the node, by name.
     """
 
     name: str
@@ -48,6 +49,7 @@
     listen_address: str = ""
     backend_address: str = ""
     server_address: str = ""
+    settings: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass
@@ -58,6 +60,7 @@
         ``listen_address`` when there is a relay between them.
     :param listen_address: where it listens for other processes.
     :param admin_address: where it listens for operators.
+    :param settings: further settings of the process, by name.
     """
 
     name: str
@@ -66,6 +69,7 @@
     address: str = ""
     listen_address: str = ""
     admin_address: str = ""
+    settings: dict[str, str] = dataclasses.field(default_factory=dict)
 
 
 class Fleet:
@@ -94,14 +98,23 @@
         self.secret = secrets.token_hex(16).encode()
         self._environment["FESCUEYARD_CLUSTER_SECRET"] = self.secret.decode()
 
-    def add_control(self, zone, join=False):
+    def new_address(self):
+        """Reserve an address until the fleet is stopped.
+
+        :returns: ``host:port``.
+        """
+        return self._ports.new_address()
+
+    def add_control(self, zone, join=False, **further_settings):
         """Start a control process; the first one bootstraps the cluster.
 
         :param zone: its availability zone.
         :param join: apply to join a running cluster.
+        :param further_settings: settings, passed in the environment.
         :returns: :class:`Control`.
         """
         control = Control(f"control-{len(self.controls)}", zone)
+        control.settings = further_settings
         self._assign_addresses(control)
         control.admin_address = self._ports.new_address()
         self.controls.append(control)
@@ -120,18 +133,20 @@
         flags = self._control_flags(control)
         if join:
             flags.append("--join=True")
-        control.process = self._start_process(control.name, "control", *flags)
+        control.process = self._start_process(control, "control", *flags)
         self._await_port(control.admin_address)
 
-    def add_node(self, zone, service="", slots=20):
+    def add_node(self, zone, service="", slots=20, **further_settings):
         """Start a node and its backend server.
 
         :param zone: its availability zone.
         :param service: service of the backend server; none when empty.
         :param slots: slots of the backend server.
+        :param further_settings: settings, passed in the environment.
         :returns: :class:`Node`.
         """
         node = Node(f"node-{len(self.nodes)}", zone, service)
+        node.settings = further_settings
         self._assign_addresses(node)
         node.caller_address = self._ports.new_address()
         node.backend_address = self._ports.new_address()
@@ -149,7 +164,7 @@
         """
         seeds = ",".join(control.address for control in self.controls)
         node.process = self._start_process(
-            node.name,
+            node,
             "node",
             f"--node_id={node.name}",
             f"--zone={node.zone}",
@@ -384,11 +399,15 @@
             capture_output=True,
         )
 
-    def _start_process(self, name, *arguments):
-        log = open(self.folder / f"{name}.log", "ab")
+    def _start_process(self, owner, *arguments):
+        log = open(self.folder / f"{owner.name}.log", "ab")
+        environment = dict(self._environment)
+        for name, value in owner.settings.items():
+            variable = settings.defaults.ENVIRONMENT_PREFIX + name.upper()
+            environment[variable] = str(value)
         return subprocess.Popen(
             [sys.executable, "-m", "fescueyard", *arguments],
-            env=self._environment,
+            env=environment,
             stdout=log,
             stderr=log,
         )
