Read large responses of the backend server as there is room

Cause: up to as many responses as the server has slots arrive at the same time, and all were read whole. An aborted run kept its unfinished response until the next garbage collection. Change: transport/response_flow.py pauses reading without room; the oldest response is always read on. abort() drops the unfinished response.

--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -14,6 +14,7 @@
 from fescueyard.core import headers as header_names
 from fescueyard.core import logs
 from fescueyard.transport import backend_connection
+from fescueyard.transport import response_flow
 
 LOG = logs.ComponentLogger("backend")
 
@@ -45,7 +46,7 @@
         requires_echo=True,
         memory=None,
     ):
-        self.memory = memory
+        self.flow = response_flow.ResponseFlow(memory)
         self.response_bytes_max = response_bytes_max
         self.names = names
         self.requires_echo = requires_echo
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -16,7 +16,6 @@
 from fescueyard.core import logs
 from fescueyard.core import notices
 from fescueyard.core import text as text_checks
-from fescueyard.transport import memory_account
 from fescueyard.transport import sockets
 
 LOG = logs.ComponentLogger("backend")
@@ -110,7 +109,6 @@
         self._overhead_bytes = 0
         self._body_bytes = 0
         self._responses_skipped = 0
-        self._held_bytes = 0
 
     def connection_made(self, transport):
         """Set the socket's options."""
@@ -130,10 +128,22 @@
         """Close at once; the request in progress gets no result."""
         self._transfer = None
         self.usable = False
-        self._release()
+        # The parser refers to the connection: as a cycle they would keep the
+        # response until the next garbage collection.
+        self._response = None
+        self._client.flow.release(self)
         if self._transport is not None:
             self._transport.abort()
 
+    def pause_reading(self):
+        """Leave the rest of the response to the buffers of the system."""
+        self._transport.pause_reading()
+
+    def resume_reading(self):
+        """Read the rest of the response."""
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def data_received(self, data):
         """Parse the response; abort when no request is in progress."""
         if self._transfer is None:
@@ -209,7 +219,7 @@
         if self._transfer is None or self._too_large:
             return
         response.body += body
-        self._hold(len(body))
+        self._client.flow.hold(self, len(body))
         if len(response.body) > self._client.response_bytes_max:
             self._too_large = True
             self._fail(codes.ANSWER_TOO_LARGE)
@@ -323,7 +333,7 @@
     def _finish(self, result):
         transfer, self._transfer = self._transfer, None
         self._response = None
-        self._release()
+        self._client.flow.release(self)
         if self.usable and not self._transport.is_closing():
             self._client.add_idle(self)
         else:
@@ -334,18 +344,6 @@
             future, transfer.future = transfer.future, None
             future.set_result(result)
 
-    def _hold(self, count):
-        """Count bytes of a response in the account of memory."""
-        if self._client.memory is not None:
-            amount = memory_account.body_cost(count)
-            self._client.memory.charge(amount)
-            self._held_bytes += amount
-
-    def _release(self):
-        if self._client.memory is not None:
-            self._client.memory.charge(-self._held_bytes)
-            self._held_bytes = 0
-
     def _record_idle_max(self, text):
         """Derive the idle limit from the value of a ``keep-alive`` header."""
         for part in (text or "").split(","):
