Check the head of a small request only if its body is missing

Cause: route and key were checked twice for each request with a body, at its head and when it was complete. A connection that is being closed parses and starts nothing more, and a rejected body releases its room at once.

--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -119,6 +119,7 @@
         self._lingering = False
         self._deadline_s = 0.0
         self._early_response = None
+        self._unchecked_head = None
         self._refusal = None
         self._body_reserve = 0
         self._requests_cost = 0
@@ -273,12 +274,20 @@
     def headers_complete(self, head, body_bytes, expects_continue):
         """Start the timeout for the body; ask for it when it is awaited.
 
-        No body is kept for which there is a response already.
+        No body is kept for which there is a response already. A small body
+        has mostly arrived together with its head, so the head of such a
+        request is only checked if the body turns out to be missing.
         """
         self._set_deadline(self._limits.request_timeout_s)
         if body_bytes == 0:
             return
-        self._early_response = self._response_to_head(head)
+        is_small = body_bytes is not None and (
+            body_bytes <= memory_account.SMALL_BODY_BYTES
+        )
+        if is_small and not expects_continue:
+            self._unchecked_head = head
+        else:
+            self._early_response = self._response_to_head(head)
         if self._early_response is None:
             expected_bytes = body_bytes or CHUNKED_RESERVE_BYTES
             self._reserve_body(expected_bytes)
@@ -302,6 +311,7 @@
         """Queue a request behind those in progress."""
         self._receiving = False
         self._continue_due = False
+        self._unchecked_head = None
         parsed.response, self._early_response = self._early_response, None
         parsed.cost += self._body_reserve
         self._body_reserve = 0
@@ -342,7 +352,7 @@
             return
         self._starting = True
         work_units = 0
-        while not self._lingering:
+        while not self._lingering and not self._transport.is_closing():
             self._write_due_responses()
             if work_units >= WORK_UNITS_MAX:
                 self._resume_later()
@@ -385,6 +395,10 @@
 
     def _refuse_unread_body(self):
         """Respond without the rest of a body that is not needed."""
+        if self._unchecked_head is not None and not self._unparsed:
+            head, self._unchecked_head = self._unchecked_head, None
+            early_response = self._response_to_head(head)
+            self._early_response = self._early_response or early_response
         if self._early_response is not None and not self._unparsed:
             self._refusal, self._early_response = self._early_response, None
             self._parser.reject(codes.BAD_REQUEST)
@@ -511,6 +525,7 @@
         """Send the end of the responses; close when the caller does."""
         self._lingering = True
         self._continue_due = False
+        self._body_reserve = 0
         self._unparsed.clear()
         self._set_deadline(LINGER_TIMEOUT_S)
         if not self._transport.can_write_eof():
--- a/tests/transport/test_client_bounds.py
+++ b/tests/transport/test_client_bounds.py
@@ -186,13 +186,17 @@
 
     async def exchange(address, guard):
         head = b"PUT / HTTP/1.1\r\nContent-Length: %d\r\n\r\n"
-        unfinished = await _response_to(address, head % 1_000_000)
+        unfinished = [
+            await _response_to(address, head % length + b"abc")
+            for length in (4, 1_000_000)
+        ]
         complete = await _response_to(address, head % 3 + b"abc")
         return unfinished, complete
 
     unfinished, complete = _run(exchange, handler)
-    assert unfinished.endswith(b"ready")
-    assert b"connection: close" in unfinished
+    for response in unfinished:
+        assert response.endswith(b"ready")
+        assert b"connection: close" in response
     assert complete.endswith(b"ready")
     assert b"connection: keep-alive" in complete
 
