--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -68,6 +68,7 @@
         sample of, or None.
     :param failed_call_fingerprints: fingerprints of its failed downstream
         calls.
+    :param holds_memory: whether its body is counted in the account of memory.
     """
 
     run_id: int
@@ -87,6 +88,7 @@
     failed_call_fingerprints: set[bytes] = dataclasses.field(
         default_factory=set, metadata=dumps.written_as("failed_calls")
     )
+    holds_memory: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -161,6 +163,8 @@
     :param pace: the pace at which it gets more work after a start.
     :param token_wakeup_at_ms: when the queue is looked at again, as a limit
         may let a run start.
+    :param memory: account of what bodies hold in this process, with the
+        methods ``hold_forwarded`` and ``release_forwarded``; None for none.
     """
 
     rows: dict[int, Run] = dataclasses.field(default_factory=dict)
@@ -197,4 +201,5 @@
     )
     pace: paces.Pace = dataclasses.field(default_factory=paces.Pace)
     token_wakeup_at_ms: float = float("-inf")
+    memory: object = None
     fairness: FairnessTable = dataclasses.field(default_factory=FairnessTable)
--- a/fescueyard/conf/settings.py
+++ b/fescueyard/conf/settings.py
@@ -22,6 +22,9 @@
 ]
 ByteCount = typing.Annotated[int, pydantic.Field(ge=1024, le=16 * 1024**2)]
 LinkRate = typing.Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+MemoryMb = typing.Annotated[int, pydantic.Field(ge=96, le=1024**2)]
+FdCount = typing.Annotated[int, pydantic.Field(ge=128, le=1024**2)]
+FieldCount = typing.Annotated[int, pydantic.Field(ge=100, le=100_000)]
 PositiveMs = typing.Annotated[int, pydantic.Field(ge=1)]
 LogLevel = typing.Literal["debug", "info", "warning", "error"]
 
@@ -49,6 +52,11 @@
         empty to disable.
     :param link_mbps: rate of the VM's link, in Mbit/s; none if it isn't
         limited. At 100 or less, bytes between zones are saved.
+    :param memory_mb: memory of the VM, in MiB. What clients may hold is
+        derived from it.
+    :param fds_max: file descriptors of the VM; 60% of them are for connections
+        of clients.
+    :param header_fields_max: maximum number of header fields of a request.
     """
 
     __pydantic_config__ = _FORBID_EXTRA
@@ -66,6 +74,9 @@
     log_level: LogLevel = defaults.LOG_LEVEL
     metrics_address: AddressText | None = None
     link_mbps: LinkRate | None = None
+    memory_mb: MemoryMb = defaults.NODE_MEMORY_MB
+    fds_max: FdCount = defaults.FDS_MAX
+    header_fields_max: FieldCount = defaults.HEADER_FIELDS_MAX
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -157,6 +168,7 @@
     )
     keeps_claims: bool = True
     zones: list[str] = dataclasses.field(default_factory=list)
+    memory_mb: MemoryMb = defaults.CONTROL_MEMORY_MB
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
--- a/fescueyard/ingress/route_parsing.py
+++ b/fescueyard/ingress/route_parsing.py
@@ -85,6 +85,31 @@
     )
 
 
+def check_head(tables, head, now_ms):
+    """Check route and key of a request before its body is read.
+
+    :param tables: the node's tables.
+    :param head: :class:`~fescueyard.core.http.HttpRequest` without its body.
+    :param now_ms: the present time.
+    :raises RequestError: when the request is rejected.
+    """
+    path = head.target.partition("?")[0]
+    route = find_route(tables, head.header("host") or "", path, now_ms).route
+    # Choosing a part would count in the round-robin. The most lenient profile
+    # refuses no request that one of the parts would accept.
+    profile = max(
+        (tables.profile_of(part.service) for part in route.parts),
+        key=lambda each: each.key_staleness_max_ms,
+        default=tables.default_profile,
+    )
+    identify(
+        tables,
+        route,
+        lambda: keys.identify_key(tables, profile, head, now_ms),
+        now_ms,
+    )
+
+
 def find_route(tables, host, path, now_ms):
     """Find the route of a request.
 
--- a/fescueyard/platform/settings.py
+++ b/fescueyard/platform/settings.py
@@ -31,13 +31,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class _LimitsTable:
-    """Limits of the VM; absent or 0 where it has none."""
+    """Size of the VM; without it the defaults of the settings apply."""
 
     __pydantic_config__ = _IGNORE_EXTRA
 
+    # 0 where the link isn't limited.
     LinkMbps: typing.Annotated[
         float, pydantic.Field(ge=0, allow_inf_nan=False)
     ] = 0.0
+    MemoryMb: _Count | None = None
+    MaxFds: _Count | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -244,7 +247,7 @@
     for seed in parsed.Network.Seeds:
         host = seed.rpartition(":")[0]
         control_addresses.append(f"{host}:{stream_port}")
-    return {
+    values = {
         "zone": parsed.Self.Zone,
         "region": parsed.Self.Region,
         "address": f"{parsed.Self.Ip}:{stream_port}",
@@ -252,6 +255,12 @@
         "metrics_address": f"{parsed.Self.Ip}:{metrics_port}",
         "link_mbps": parsed.Self.Limits.LinkMbps or None,
     }
+    limits = parsed.Self.Limits
+    if limits.MemoryMb is not None:
+        values["memory_mb"] = limits.MemoryMb
+    if limits.MaxFds is not None:
+        values["fds_max"] = limits.MaxFds
+    return values
 
 
 def _environment():
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -14,6 +14,7 @@
 from fescueyard.core import headers as header_names
 from fescueyard.core import logs
 from fescueyard.transport import backend_connection
+from fescueyard.transport import response_flow
 
 LOG = logs.ComponentLogger("backend")
 
@@ -34,6 +35,9 @@
         of its request; otherwise only those of a server that has echoed one.
     :param connection_lost: function that is called when the backend server
         closes an idle connection.
+    :param memory: account that counts unfinished responses, a
+        :class:`~fescueyard.transport.memory_account.MemoryAccount`; None for
+        none.
     """
 
     def __init__(
@@ -43,7 +47,9 @@
         names=header_names.HeaderNames(),
         requires_echo=True,
         connection_lost=lambda: None,
+        memory=None,
     ):
+        self.flow = response_flow.ResponseFlow(memory)
         self.response_bytes_max = response_bytes_max
         self.names = names
         self.requires_echo = requires_echo
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -71,7 +71,7 @@
     head: bytes
     request_id: str
     expects_instance: bool
-    future: concurrent.futures.Future
+    future: concurrent.futures.Future | None
     connection: object = None
     cancelled: bool = False
 
@@ -141,9 +141,22 @@
         self._transfer = None
         self.usable = False
         self.aborted = True
+        # The parser refers to the connection: as a cycle they would keep the
+        # response until the next garbage collection.
+        self._response = None
+        self._client.flow.release(self)
         if self._transport is not None:
             self._transport.abort()
 
+    def pause_reading(self):
+        """Leave the rest of the response to the buffers of the system."""
+        self._transport.pause_reading()
+
+    def resume_reading(self):
+        """Read the rest of the response."""
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
     def data_received(self, data):
         """Parse the response; abort when no request is in progress."""
         if self._transfer is None:
@@ -222,6 +235,7 @@
         if self._transfer is None or self._too_large:
             return
         response.body += body
+        self._client.flow.hold(self, len(body))
         if len(response.body) > self._client.response_bytes_max:
             self._too_large = True
             self._fail(codes.ANSWER_TOO_LARGE)
@@ -339,13 +353,17 @@
     def _finish(self, result):
         transfer, self._transfer = self._transfer, None
         self._response = None
+        self._client.flow.release(self)
         if self.usable and not self._transport.is_closing():
             self._client.add_idle(self)
         else:
             self.aborted = True
             self._transport.abort()
         if transfer is not None and not transfer.cancelled:
-            transfer.future.set_result(result)
+            # The future refers to the transfer: as a cycle they would keep the
+            # response until the next garbage collection.
+            future, transfer.future = transfer.future, None
+            future.set_result(result)
 
     def _record_idle_max(self, text):
         """Derive the idle limit from the value of a ``keep-alive`` header."""
