--- a/benchmarks/request_cpu.py
+++ b/benchmarks/request_cpu.py
@@ -160,7 +160,8 @@
     def check_response(future):
         response = future.result().response
         if response is None or response.status != 200:
-            done.set_exception(RuntimeError(f"failed: {future.result()}"))
+            error = RuntimeError(f"{subject.name}: {future.result()}")
+            done.set_exception(error)
         else:
             done.set_result(None)
 
