Keep requests in the zone while a server there has a free slot

Cause: a request left its zone as soon as a far server's load per slot was lower by a quarter, though the near one had free slots.

--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -6,13 +6,15 @@
 is larger. A server that is slower or fails more than others of its service, or
 has no free slot, counts as more loaded (:mod:`fescueyard.routing.outliers`).
 The node's own zone is preferred unless its load per slot is higher by more
-than :data:`CROSS_ZONE_PENALTY`.
+than :data:`CROSS_ZONE_PENALTY`. Where bytes between zones are expensive,
+:mod:`fescueyard.routing.zone_preference` decides instead.
 """
 
 from fescueyard.core import effects
 from fescueyard.routing import models
 from fescueyard.routing import outliers
 from fescueyard.routing import zone_health
+from fescueyard.routing import zone_preference
 
 LOAD_HALF_LIFE_MS = 200
 # Half-life of the weight of a backend server's last reported load; the rest of
@@ -64,6 +66,8 @@
     far = _better_of_two(tables, other_zones, score)
     if near is None or far is None:
         return near or far
+    if table.saves_cross_zone:
+        return zone_preference.choose(near, far, score(near), score(far))
     if score(far) + CROSS_ZONE_PENALTY < score(near):
         return far
     return near
