Read the page size from the system

Cause: the resident memory was computed with pages of 4 KiB, which some arm64 systems don't have. Change: resource.getpagesize().

--- a/fescueyard/transport/memory_account.py
+++ b/fescueyard/transport/memory_account.py
@@ -7,6 +7,7 @@
 
 import ctypes
 import dataclasses
+import resource
 
 MEBIBYTE = 1024 * 1024
 # A connection: transport, socket, protocol object, parser and containers.
@@ -129,7 +130,7 @@
             pages = int(file.read().split()[1])
     except OSError:
         return 0
-    return pages * 4096
+    return pages * resource.getpagesize()
 
 
 def return_freed_blocks():
