Judge the pace at full load by the server's own failures only

Refusals and missed deadlines come with any overload. Counted as trouble, they shrank the windows of all servers of a service that refused a part of its requests, and fewer were served still. They count only while a server starts.

--- a/fescueyard/admission/cold_limit.py
+++ b/fescueyard/admission/cold_limit.py
@@ -86,21 +86,21 @@
     reported_until_ms: float | None = None
 
 
-def record_break(limit, reason, now_ms, certain_until_ms=None):
+def record_break(limit, reason, now_ms):
     """Record a sign that the server may be another process from now on.
 
     :param limit: :class:`ColdLimit`.
     :param reason: what was seen, for the log.
     :param now_ms: the present time.
-    :param certain_until_ms: until when it was the process known; the present
-        when left out.
     """
     if limit.before_break is None:
+        last_ms = limit.ticked_at_ms
         limit.before_break = KnownProcess(
             limit.until_ms,
             limit.reason,
             limit.broken_at_ms,
-            now_ms if certain_until_ms is None else certain_until_ms,
+            # What happened since the last tick may be handled in any order.
+            -math.inf if last_ms is None else last_ms,
         )
     limit.break_count += 1
     limit.broken_at_ms = now_ms
@@ -229,8 +229,8 @@
     """
     last_ms = limit.ticked_at_ms
     if last_ms is not None and now_ms - last_ms > STALL_MS:
+        record_break(limit, "node_stalled", now_ms)
         limit.ticked_at_ms = now_ms
-        record_break(limit, "node_stalled", now_ms, last_ms)
 
 
 def is_cold(limit, now_ms):
--- a/fescueyard/admission/start_limits.py
+++ b/fescueyard/admission/start_limits.py
@@ -100,20 +100,26 @@
     return int(min(tables.runs.limiter.limit, tables.runs.pace.window))
 
 
-def record_completion(tables, run, is_good, now_ms):
+def record_completion(tables, run, is_good, is_fault, now_ms):
     """Adjust the pace to the end of a run.
 
     A run that failed along with a call to another service, or was waiting for
-    one, tells nothing about this server.
+    one, tells nothing about this server. Neither do refusals and deadlines of
+    a server at full load: they come with any overload, and less work at once
+    would make the service shorter still.
 
     :param tables: the node's tables.
     :param run: :class:`~fescueyard.admission.models.Run`.
     :param is_good: whether the server ran it and responded without an error.
+    :param is_fault: if not, whether the server failed, rather than refused
+        the run or missed its deadline.
     :param now_ms: the present time.
     """
     table = tables.runs
     if not cold_rate_per_s(tables):
         return
+    if not (is_good or is_fault) and math.isinf(table.pace.window):
+        return
     is_good = is_good or _depends_on_other(tables, run)
     quality = tables.members.quality.get(
         (table.backend.service, run.forward.priority)
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -183,7 +183,8 @@
             now_ms - run.started_at_ms,
         )
     _record_outcome(table, response, code, now_ms)
-    _record_completion(tables, run, _is_success(response), now_ms)
+    is_fault = response is not None or code in SERVER_FAILURE_CODES
+    _record_completion(tables, run, _is_success(response), is_fault, now_ms)
     _complete_run(tables, run, code, response, 0.0, now_ms, crash_id)
     _start_eligible_runs(tables, now_ms)
 
@@ -501,7 +502,8 @@
 
 def _abort_run(tables, run, code, now_ms):
     tables.effects.append(effects.AbortRun(run.run_id))
-    _record_completion(tables, run, code is codes.CANCELLED_RUNNING, now_ms)
+    is_good = code is codes.CANCELLED_RUNNING
+    _record_completion(tables, run, is_good, False, now_ms)
     _complete_run(tables, run, code, None, 0.0, now_ms)
     _start_eligible_runs(tables, now_ms)
 
@@ -525,8 +527,14 @@
         )
 
 
-def _record_completion(tables, run, is_good, now_ms):
-    start_limits.record_completion(tables, run, is_good, now_ms)
+def _record_completion(tables, run, is_good, is_fault, now_ms):
+    """Adjust the limits to the end of a run.
+
+    :param is_good: whether the server ran it and responded without an error.
+    :param is_fault: if not, whether the server failed; it may also have
+        refused the run, or the deadline may have passed.
+    """
+    start_limits.record_completion(tables, run, is_good, is_fault, now_ms)
     table = tables.runs
     latency_ms = now_ms - run.started_at_ms
     queueing.charge(tables, run, latency_ms)
--- a/tests/admission/test_pace.py
+++ b/tests/admission/test_pace.py
@@ -7,10 +7,12 @@
 import heapq
 import math
 import random
+import types
 
 import pytest
 
 from fescueyard.admission import pace as paces
+from fescueyard.admission import start_limits
 from fescueyard.routing import balancer
 from tests import setups
 from tests import world as worlds
@@ -269,3 +271,35 @@
     assert capacity(member, target, world.now_ms + 60_000) <= SLOTS / 2
     target.reported_at_ms = world.now_ms + 1_002
     assert capacity(member, target, world.now_ms + 1_003) == SLOTS
+
+
+@pytest.mark.parametrize("is_fault", [True, False])
+def test_refusals_of_a_server_at_full_load_do_not_shrink_its_window(is_fault):
+    """Guards against a collapse under overload.
+
+    All servers of a service refused a part of their requests, so each of them
+    was given less at once, and fewer were served still.
+    """
+    world = setups.start_routed_fleet(services=("orders",), zones=("zone-a",))
+    setups.put_object(
+        world,
+        "service",
+        "orders",
+        profile="standard",
+        cold_start_ms=3_000.0,
+        cold_rate_per_s=3.0,
+    )
+    world.run(2_000)
+    tables = world.nodes["orders-zone-a"].tables
+    tables.runs.pace = paces.Pace()
+    run = types.SimpleNamespace(
+        run_id=1,
+        started_at_ms=world.now_ms + 1,
+        failed_call_fingerprints=set(),
+        forward=types.SimpleNamespace(priority=0),
+    )
+    for _ in range(2 * paces.ROUND_MIN_FULL):
+        start_limits.record_completion(
+            tables, run, False, is_fault, world.now_ms + 2
+        )
+    assert math.isinf(tables.runs.pace.window) != is_fault
