Refuse a request by its head only when its body is valid so far

A request with a malformed chunk and without a key got 401 (2005) in place of 400 (2000): its head was checked before its body was parsed, and the refusal won over the malformed bytes. Heads of requests in chunks are now checked like those of small bodies, when the body is missing at the end of what has arrived. test_bad_request_bytes of tests/faults/test_borders.py failed and passes; tests/faults/test_misbehaving_clients.py passes.

--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -278,14 +278,13 @@
 
         No body is kept for which there is a response already. A small body
         has mostly arrived together with its head, so the head of such a
-        request is only checked if the body turns out to be missing.
+        request, and of one with chunks, is only checked if the body turns out
+        to be missing.
         """
         self._set_deadline(self._limits.request_timeout_s)
         if body_bytes == 0:
             return
-        is_small = body_bytes is not None and (
-            body_bytes <= memory_account.SMALL_BODY_BYTES
-        )
+        is_small = (body_bytes or 0) <= memory_account.SMALL_BODY_BYTES
         if is_small and not expects_continue:
             self._unchecked_head = head
         else:
@@ -397,6 +396,8 @@
 
     def _refuse_unread_body(self):
         """Respond without the rest of a body that is not needed."""
+        if self._parser.rejection is not None:
+            return
         if self._unchecked_head is not None and not self._unparsed:
             head, self._unchecked_head = self._unchecked_head, None
             early_response = self._response_to_head(head)
