Let failed calls of a service not slow the servers that make them

Where requests go by routes, a server's own calls carry no token, so each run that failed with a call further down counted as a failure of its server. A response of the server, of whatever status, now counts as good for the pace there; broken connections, spoiled responses, refusals and missed deadlines count as before.

--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -183,8 +183,13 @@
             now_ms - run.started_at_ms,
         )
     _record_outcome(table, response, code, now_ms)
+    is_good = _is_success(response)
+    if tables.routed:
+        # Calls carry no token there, so a run that failed with a call to
+        # another service can't be told from one that the server failed.
+        is_good = response is not None
     is_fault = response is not None or code in SERVER_FAILURE_CODES
-    _record_completion(tables, run, _is_success(response), is_fault, now_ms)
+    _record_completion(tables, run, is_good, is_fault, now_ms)
     _complete_run(tables, run, code, response, 0.0, now_ms, crash_id)
     _start_eligible_runs(tables, now_ms)
 
