--- a/fescueyard/admission/start_limits.py
+++ b/fescueyard/admission/start_limits.py
@@ -116,7 +116,7 @@
     :param now_ms: the present time.
     """
     table = tables.runs
-    if not cold_rate_per_s(tables):
+    if not _is_paced(tables):
         return
     if not (is_good or is_fault) and math.isinf(table.pace.window):
         return
@@ -318,10 +318,13 @@
     rate_per_s = cold_rate_per_s(tables)
     if rate_per_s:
         token_bucket.refill(limit.bucket, rate_per_s, now_ms)
+        _report(tables, now_ms)
+    if _is_paced(tables):
         pace.update_cold(
             tables.runs.pace, cold_limit.is_cold(limit, now_ms), now_ms
         )
-        _report(tables, now_ms)
+    else:
+        tables.runs.pace.window = math.inf
 
 
 def _depends_on_other(tables, run):
@@ -342,6 +345,12 @@
     )
 
 
+def _is_paced(tables):
+    """Return whether the configuration names a cold rate for the service."""
+    service = _own_service(tables)
+    return service is not None and bool(service.cold_rate_per_s)
+
+
 def _is_unconfigured(tables):
     services = tables.configuration.state.objects[
         configuration_models.Kind.SERVICE
--- a/tests/admission/test_pace.py
+++ b/tests/admission/test_pace.py
@@ -13,6 +13,7 @@
 
 from fescueyard.admission import pace as paces
 from fescueyard.admission import start_limits
+from fescueyard.configuration import state as states
 from fescueyard.routing import balancer
 from tests import setups
 from tests import world as worlds
@@ -303,3 +304,21 @@
             tables, run, False, is_fault, world.now_ms + 2
         )
     assert math.isinf(tables.runs.pace.window) != is_fault
+
+
+def test_server_without_a_cold_rate_is_not_paced_once_that_is_known():
+    """Guards against a server that stays at two requests for good.
+
+    Its node counted it as cold until the first configuration arrived.
+    """
+    world = setups.start_routed_fleet(services=("orders",), zones=("zone-a",))
+    tables = world.nodes["orders-zone-a"].tables
+    tables.runs.pace.window = paces.WINDOW_MIN
+    world.run(200)
+    assert math.isinf(tables.runs.pace.window)
+    known = tables.configuration.state
+    tables.configuration.state = states.ConfigurationState()
+    start_limits.tick(tables, world.now_ms)
+    start_limits.tick(tables, world.now_ms + paces.COLD_MIN_MS)
+    assert math.isinf(tables.runs.pace.window)
+    tables.configuration.state = known
