Move the admission of request bodies out of HttpConnection

HttpConnection also decided whether a body is kept: by its head, and by the memory left for it. That is now BodyAdmission in a module of its own; the connection only asks it and counts the reservation. Behaviour is the same.

Names that misled are replaced: is_waiting was true while _waiting was empty (now is_idle and _queued), held_bytes and _held_bytes counted different things (_waiting_response_bytes), and _silent_bytes did not tell what was silent (_unreported_bytes). Doc comments gain units and attributes.

--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -48,8 +48,8 @@
     :param code: result code; ``OK`` with a response.
     :param notice: what the backend server says of itself in the response, or
         in its refusal; None without either.
-    :param connected_at_ms: when the connection was opened that the server has
-        responded on; None without a response.
+    :param connected_at_ms: time at which the connection of the response was
+        opened, in ms of the process's clock; None without a response.
     """
 
     response: http.HttpResponse | None
--- a/fescueyard/transport/client_guard.py
+++ b/fescueyard/transport/client_guard.py
@@ -12,8 +12,8 @@
 # Share of the descriptors for connections of clients. The others are for
 # streams, connections to the backend server and files.
 CLIENT_DESCRIPTOR_SHARE = 0.6
-# Connections that only listeners with a part of their own may use, so that
-# readiness probes and operators still get through a crowd of callers.
+# Part of them that only listeners with ``uses_reserve`` may use, so that
+# readiness probes and operators are served when callers use up the rest.
 RESERVED_SHARE = 0.1
 UNBOUNDED_BYTES = 1 << 62
 UNBOUNDED_CONNECTIONS = 1 << 30
@@ -34,7 +34,7 @@
         self.counters = collections.Counter()
 
     def admit(self, connection, uses_reserve):
-        """Register a new connection, in place of another one if need be.
+        """Register a new connection, closing an idle one if there is no room.
 
         :param connection:
             :class:`~fescueyard.transport.http_connection.HttpConnection`.
@@ -45,12 +45,12 @@
         if not uses_reserve:
             allowed = int(allowed * (1 - RESERVED_SHARE))
         if len(self.connections) >= allowed:
-            idle = [each for each in self.connections if each.is_waiting()]
+            idle = [each for each in self.connections if each.is_idle()]
             if not idle:
                 self.count("connection_refused")
                 return False
-            # One that has sent a complete request is less likely to be one of
-            # a crowd.
+            # A connection that has sent a complete request is less likely to
+            # belong to a client that only opens connections.
             victim = min(
                 idle, key=lambda each: (each.has_served, each.waiting_since_s)
             )
@@ -66,7 +66,7 @@
         """Make room for a body, at the expense of stalled connections.
 
         :param connection: the connection that receives it.
-        :param amount_bytes: what it costs.
+        :param amount_bytes: what it costs, in bytes.
         :param is_small: whether it may use the part for small requests.
         :returns: whether there is room.
         """
@@ -174,7 +174,7 @@
 
 
 def unbounded_guard():
-    """Create a guard without bounds, for listeners without clients at large.
+    """Create a guard without bounds, the default of a listener.
 
     :returns: :class:`ClientGuard`.
     """
--- a/fescueyard/transport/http_connection.py
+++ b/fescueyard/transport/http_connection.py
@@ -19,6 +19,7 @@
 from fescueyard.core import http
 from fescueyard.core import logs
 from fescueyard.core import problems
+from fescueyard.transport import body_admission
 from fescueyard.transport import client_guard
 from fescueyard.transport import http_parsing
 from fescueyard.transport import http_responses
@@ -42,9 +43,6 @@
 # Requests and parsing steps after which the loop serves other connections.
 # One that sends thousands of requests ahead would hold up all others.
 WORK_UNITS_MAX = 32
-RETRY_AFTER_MS = 1_000
-# A body in chunks reserves memory in steps that double from this size on.
-CHUNKED_RESERVE_BYTES = 64 * 1024
 # Bodies up to this size are written together with their head.
 JOINED_BODY_BYTES = 16 * 1024
 
@@ -73,11 +71,11 @@
     The last one says whether a request may run beside others of the same
     connection; it is only called for a connection with more than one.
 
-    :param handler: object with the three methods above.
     A handler may also have ``check_head(head)``, which is called for a request
     with a body before the body is read. It returns the response to a request
     whose body is not needed, or None.
 
+    :param handler: object with the methods above.
     :param limits: :class:`~fescueyard.transport.http_parsing.Limits`.
     :param connections: set of the open connections.
     :param closing: whether to close after the response to the first request.
@@ -85,6 +83,9 @@
         for no bounds.
     :param uses_reserve: whether it may use the connections that are reserved
         for probes and operators.
+    :ivar held_bytes: what the connection holds by the guard's account.
+    :ivar has_served: whether a response has been written.
+    :ivar waiting_since_s: loop time at which the present deadline was set.
     """
 
     def __init__(
@@ -100,7 +101,6 @@
         self.has_served = False
         self.waiting_since_s = 0.0
         self._handler = handler
-        self._check_head = getattr(handler, "check_head", None)
         self._limits = limits
         self._connections = connections
         self._guard = guard or client_guard.unbounded_guard()
@@ -109,9 +109,9 @@
         self._transport = None
         self._parser = http_parsing.RequestParser(self, limits)
         self._exchanges = collections.OrderedDict()
-        self._waiting = collections.deque()
+        self._queued = collections.deque()
         self._unparsed = bytearray()
-        self._held_bytes = 0
+        self._waiting_response_bytes = 0
         self._receiving = False
         self._continue_due = False
         self._write_paused = False
@@ -119,14 +119,14 @@
         self._resuming = False
         self._lingering = False
         self._deadline_s = 0.0
-        self._early_response = None
-        self._unchecked_head = None
+        self._body = body_admission.BodyAdmission(
+            getattr(handler, "check_head", None), self._reserve, limits
+        )
         self._refusal = None
-        self._body_reserve = 0
         self._requests_cost = 0
         self._received = progress.Progress()
         self._sent = progress.Progress()
-        self._written = 0
+        self._written_bytes = 0
 
     def connection_made(self, transport):
         """Start the idle timeout for the first request."""
@@ -144,7 +144,7 @@
         """Cancel the requests in progress and release what they hold."""
         self._connections.discard(self)
         self._guard.forget(self)
-        self._waiting.clear()
+        self._queued.clear()
         self._unparsed.clear()
         self._parser.discard_body()
         open_exchanges = list(self._exchanges.values())
@@ -181,7 +181,7 @@
         if exchange is None:
             return
         exchange.response = response
-        self._held_bytes += len(response.body)
+        self._waiting_response_bytes += len(response.body)
         try:
             self._advance()
         except Exception as error:
@@ -198,12 +198,14 @@
             return self._received.is_stalled
         return self._sent.is_stalled and self.has_unsent_bytes()
 
-    def is_waiting(self):
+    def is_idle(self):
         """Return whether no complete request is in progress.
 
+        One that is still arriving does not count.
+
         :returns: bool.
         """
-        return not self._exchanges and not self._waiting
+        return not self._exchanges and not self._queued
 
     def client_address(self):
         """Return the address of the client.
@@ -232,7 +234,7 @@
     def close_when_idle(self):
         """Close now, or after the responses to the requests in progress."""
         self._closing = True
-        if not self._exchanges and not self._waiting:
+        if self.is_idle():
             self._transport.close()
 
     def close_if_overdue(self, now_s):
@@ -256,9 +258,8 @@
         if self._received.is_too_slow(is_due, progress.BODY_WINDOW_S, now_s):
             self._guard.close(self, "slow_body")
             return
-        self._sent.total = self._written - progress.unsent_bytes(
-            self._transport
-        )
+        unsent_bytes = progress.unsent_bytes(self._transport)
+        self._sent.total = self._written_bytes - unsent_bytes
         if self._sent.is_too_slow(
             self.has_unsent_bytes(), progress.RESPONSE_WINDOW_S, now_s
         ):
@@ -276,78 +277,49 @@
     def headers_complete(self, head, body_bytes, expects_continue):
         """Start the timeout for the body; ask for it when it is awaited.
 
-        No body is kept for which there is a response already. A small body
-        has mostly arrived together with its head, so the head of such a
-        request, and of one with chunks, is only checked if the body turns out
-        to be missing.
+        :param head: the request without its body.
+        :param body_bytes: size of the body; None for one in chunks.
+        :param expects_continue: whether the caller waits before it sends it.
         """
         self._set_deadline(self._limits.request_timeout_s)
         if body_bytes == 0:
             return
-        is_small = (body_bytes or 0) <= memory_account.SMALL_BODY_BYTES
-        if is_small and not expects_continue:
-            self._unchecked_head = head
-        else:
-            self._early_response = self._response_to_head(head)
-        if self._early_response is None:
-            expected_bytes = body_bytes or CHUNKED_RESERVE_BYTES
-            self._reserve_body(expected_bytes)
-        if self._early_response is not None:
+        self._body.begin(head, body_bytes, expects_continue)
+        if self._body.response is not None:
             self._parser.discard_body()
             return
+        self._update_charge()
         self._continue_due = expects_continue
         self._write_due_continue()
 
     def body_grown(self, body_bytes):
-        """Reserve more for a body in chunks."""
-        if self._early_response is not None:
+        """Reserve more for a body in chunks.
+
+        :param body_bytes: its size so far.
+        """
+        if not self._body.grow(body_bytes):
             return
-        if memory_account.body_cost(body_bytes) > self._body_reserve:
-            doubled_bytes = min(2 * body_bytes, self._limits.body_bytes_max)
-            self._reserve_body(max(doubled_bytes, body_bytes))
-            if self._early_response is not None:
-                self._parser.discard_body()
+        if self._body.response is None:
+            self._update_charge()
+        else:
+            self._parser.discard_body()
 
     def request_complete(self, parsed):
         """Queue a request behind those in progress."""
         self._receiving = False
         self._continue_due = False
-        self._unchecked_head = None
-        parsed.response, self._early_response = self._early_response, None
-        parsed.cost += self._body_reserve
-        self._body_reserve = 0
+        self._body.complete(parsed)
         self._requests_cost += parsed.cost
-        self._waiting.append(parsed)
+        self._queued.append(parsed)
 
-    def _response_to_head(self, head):
-        """Return the response to a request whose body isn't needed."""
-        if self._check_head is None:
-            return None
-        try:
-            return self._check_head(head)
-        except Exception as error:
-            failures.contain(LOG, "head_check_failed", error)
-            return problems.problem_response(codes.INTERNAL_ERROR)
-
-    def _reserve_body(self, expected_bytes):
-        """Reserve memory for a body, or prepare the refusal."""
-        amount = memory_account.body_cost(expected_bytes)
-        amount -= self._body_reserve
-        is_small = expected_bytes <= memory_account.SMALL_BODY_BYTES
-        if self._guard.reserve(self, amount, is_small):
-            self._body_reserve += amount
-            self._update_charge()
-            return
-        self._body_reserve = 0
-        self._early_response = problems.problem_response(
-            codes.MEMORY_SHORT, "", RETRY_AFTER_MS
-        )
+    def _reserve(self, amount_bytes, is_small):
+        return self._guard.reserve(self, amount_bytes, is_small)
 
     def _receives_body(self):
-        return self._receiving and self._body_reserve > 0
+        return self._receiving and self._body.reserved_bytes > 0
 
     def _advance(self):
-        """Write the responses that are due, then start waiting requests."""
+        """Write the responses that are due, then start queued requests."""
         if self._starting:
             # A handler responded while its request was being started.
             return
@@ -358,11 +330,11 @@
             if work_units >= WORK_UNITS_MAX:
                 self._resume_later()
                 break
-            if self._waiting:
+            if self._queued:
                 if not self._may_start():
                     break
                 work_units += 1
-                self._start(self._waiting.popleft())
+                self._start(self._queued.popleft())
             elif self._unparsed and not self._is_blocked():
                 work_units += 1
                 self._parse_step()
@@ -396,14 +368,10 @@
 
     def _refuse_unread_body(self):
         """Respond without the rest of a body that is not needed."""
-        if self._parser.rejection is not None:
+        if self._parser.rejection is not None or self._unparsed:
             return
-        if self._unchecked_head is not None and not self._unparsed:
-            head, self._unchecked_head = self._unchecked_head, None
-            early_response = self._response_to_head(head)
-            self._early_response = self._early_response or early_response
-        if self._early_response is not None and not self._unparsed:
-            self._refusal, self._early_response = self._early_response, None
+        self._refusal = self._body.take_refusal()
+        if self._refusal is not None:
             self._parser.reject(codes.BAD_REQUEST)
 
     def _is_blocked(self):
@@ -413,22 +381,22 @@
         count as unread. Reading on shows when the caller leaves.
         """
         is_ending = self._closing and bool(self._exchanges)
-        return is_ending or bool(self._waiting) or self._is_full()
+        return is_ending or bool(self._queued) or self._is_full()
 
     def _is_full(self):
         return (
             self._write_paused
             or len(self._exchanges) >= OPEN_EXCHANGES_MAX
-            or self._held_bytes > HELD_RESPONSE_BYTES_MAX
+            or self._waiting_response_bytes > HELD_RESPONSE_BYTES_MAX
         )
 
     def _may_start(self):
-        """Return whether the first waiting request may be started."""
+        """Return whether the first queued request may be started."""
         if self._is_full():
             return False
         if not self._exchanges:
             return True
-        if not self._handler.may_overlap(self._waiting[0].request):
+        if not self._handler.may_overlap(self._queued[0].request):
             return False
         return all(map(self._overlaps, self._exchanges.values()))
 
@@ -481,9 +449,9 @@
     def _write_response(self, exchange):
         response = exchange.response
         self.has_served = True
-        self._held_bytes -= len(response.body)
+        self._waiting_response_bytes -= len(response.body)
         self._requests_cost -= exchange.parsed.cost
-        is_last = not self._exchanges and not self._waiting
+        is_last = self.is_idle()
         keep_alive = exchange.parsed.keep_alive
         if self._closing and is_last:
             keep_alive = False
@@ -500,14 +468,14 @@
 
     def _write_due_continue(self):
         """Ask for a body once all earlier requests have been answered."""
-        if self._continue_due and not self._exchanges and not self._waiting:
+        if self._continue_due and self.is_idle():
             self._continue_due = False
             self._write(http_responses.CONTINUE, b"")
 
     def _write_due_rejection(self):
         """Respond to malformed input behind the responses before it."""
         code = self._parser.rejection
-        if code is None or self._exchanges or self._waiting:
+        if code is None or not self.is_idle():
             return
         if self._lingering:
             return
@@ -517,7 +485,7 @@
 
     def _write(self, head, body):
         """Write a response; a large body isn't copied behind its head."""
-        self._written += len(head) + len(body)
+        self._written_bytes += len(head) + len(body)
         if len(body) <= JOINED_BODY_BYTES:
             self._transport.write(head + body)
             return
@@ -528,7 +496,7 @@
         """Send the end of the responses; close when the caller does."""
         self._lingering = True
         self._continue_due = False
-        self._body_reserve = 0
+        self._body.release()
         self._unparsed.clear()
         self._set_deadline(LINGER_TIMEOUT_S)
         if not self._transport.can_write_eof():
@@ -558,9 +526,9 @@
         held_bytes = (
             memory_account.CONNECTION_COST
             + self._parser.head_cost()
-            + self._body_reserve
+            + self._body.reserved_bytes
             + self._requests_cost
-            + self._held_bytes
+            + self._waiting_response_bytes
             + len(self._unparsed)
             + memory_account.body_cost(self._transport.get_write_buffer_size())
         )
--- a/fescueyard/transport/http_parsing.py
+++ b/fescueyard/transport/http_parsing.py
@@ -21,8 +21,9 @@
 HEAD_STEP_BYTES = 1_024
 CHUNKED_STEP_BYTES = 4 * 1024
 BODY_STEP_BYTES = 64 * 1024
-# Bytes of a head outside its target and fields: methods, versions, colons.
+# Colon, space and line break of each field.
 FIELD_FRAMING_BYTES = 4
+# Method, version and separators of the request line, with a margin.
 LINE_FRAMING_BYTES = 256
 
 
@@ -124,7 +125,7 @@
         :returns: bytes.
         """
         return memory_account.HEAD_BYTE_COST * (
-            self._header_bytes + self._silent_bytes
+            self._header_bytes + self._unreported_bytes
         ) + memory_account.FIELD_COST * len(self._headers)
 
     def discard_body(self):
@@ -144,7 +145,7 @@
 
     def _feed_parser(self, data):
         """Return the bytes that are still to be parsed."""
-        self._silent_bytes += len(data)
+        self._unreported_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as upgrade:
@@ -154,10 +155,10 @@
         except httptools.HttpParserError:
             if not self._closed:
                 self.reject(codes.BAD_REQUEST)
-        self._check_silent_bytes()
+        self._check_unreported_bytes()
         return b""
 
-    def _check_silent_bytes(self):
+    def _check_unreported_bytes(self):
         """Reject a field or a chunk extension that does not end.
 
         The parser collects a field until it is complete.
@@ -167,7 +168,7 @@
         allowed_bytes = (
             limits.header_bytes_max + framing_bytes + LINE_FRAMING_BYTES
         )
-        if self._silent_bytes > allowed_bytes:
+        if self._unreported_bytes > allowed_bytes:
             self.reject(codes.HEADERS_TOO_LARGE)
 
     # Callbacks of the parser.
@@ -190,7 +191,7 @@
         """Collect a header."""
         if self.rejection is not None:
             return
-        self._silent_bytes = 0
+        self._unreported_bytes = 0
         self._count_header_bytes(len(name) + len(value))
         if len(self._headers) >= self._limits.header_fields_max:
             self.reject(codes.HEADERS_TOO_LARGE)
@@ -218,7 +219,7 @@
         if self._header("transfer-encoding") is not None:
             length = None
         self._in_body = True
-        self._silent_bytes = 0
+        self._unreported_bytes = 0
         self._body_bytes_left = length
         expected = self._header("expect") or ""
         self._receiver.headers_complete(
@@ -227,13 +228,13 @@
 
     def on_chunk_header(self):
         """Note that a chunk has begun."""
-        self._silent_bytes = 0
+        self._unreported_bytes = 0
 
     def on_body(self, body):
         """Collect a piece of the body."""
         if self.rejection is not None:
             return
-        self._silent_bytes = 0
+        self._unreported_bytes = 0
         self._body_bytes += len(body)
         if self._body_bytes_left is not None:
             self._body_bytes_left -= len(body)
@@ -268,7 +269,8 @@
         self._url = b""
         self._headers = []
         self._header_bytes = 0
-        self._silent_bytes = 0
+        # Fed since the parser last reported a complete element.
+        self._unreported_bytes = 0
         self._body = io.BytesIO()
         self._body_bytes = 0
         self._body_bytes_left = 0
--- a/fescueyard/transport/memory_account.py
+++ b/fescueyard/transport/memory_account.py
@@ -84,7 +84,7 @@
     def has_room(self, amount_bytes, is_small):
         """Return whether an amount fits.
 
-        :param amount_bytes: the amount.
+        :param amount_bytes: cost in bytes.
         :param is_small: whether the part for small requests may be used.
         :returns: bool.
         """
@@ -94,7 +94,7 @@
     def charge(self, amount_bytes):
         """Count an amount; a negative one is released.
 
-        :param amount_bytes: the amount.
+        :param amount_bytes: cost in bytes, as of :func:`body_cost`.
         """
         self.held_bytes += amount_bytes
 
--- a/fescueyard/transport/progress.py
+++ b/fescueyard/transport/progress.py
@@ -23,14 +23,20 @@
         two sweeps.
     """
 
-    __slots__ = ("total", "is_stalled", "_swept", "_start", "_start_s")
+    __slots__ = (
+        "total",
+        "is_stalled",
+        "_swept_total",
+        "_window_start_total",
+        "_window_start_s",
+    )
 
     def __init__(self):
         self.total = 0
         self.is_stalled = False
-        self._swept = 0
-        self._start = 0
-        self._start_s = None
+        self._swept_total = 0
+        self._window_start_total = 0
+        self._window_start_s = None
 
     def add(self, count):
         """Count transferred bytes.
@@ -47,24 +53,27 @@
         :param now_s: the loop's time.
         :returns: bool.
         """
-        transferred = self.total - self._swept
-        self._swept = self.total
+        transferred = self.total - self._swept_total
+        self._swept_total = self.total
         self.is_stalled = (
             is_due
-            and self._start_s is not None
+            and self._window_start_s is not None
             and transferred < STALLED_BYTES_MAX
         )
         if not is_due:
-            self._start_s = None
+            self._window_start_s = None
             return False
-        if self._start_s is None:
-            self._start_s, self._start = now_s, self.total
+        if self._window_start_s is None:
+            self._window_start_s, self._window_start_total = now_s, self.total
             return False
-        elapsed_s = now_s - self._start_s
+        elapsed_s = now_s - self._window_start_s
         if elapsed_s < window_s:
             return False
-        is_slow = self.total - self._start < elapsed_s * RATE_MIN_BYTES_PER_S
-        self._start_s, self._start = now_s, self.total
+        is_slow = (
+            self.total - self._window_start_total
+            < elapsed_s * RATE_MIN_BYTES_PER_S
+        )
+        self._window_start_s, self._window_start_total = now_s, self.total
         return is_slow
 
 
--- a/fescueyard/transport/streams.py
+++ b/fescueyard/transport/streams.py
@@ -26,7 +26,11 @@
 
 
 class _FrameBuffer:
-    """Splits received bytes into frames."""
+    """Splits received bytes into frames.
+
+    Frames before the offset ``_start`` have been taken; their bytes are
+    removed when more arrive, which copies once for several frames.
+    """
 
     def __init__(self):
         self._buffer = b""
