Reuse the look-up by type, and check forwarded changes in one place

Effects and messages each had a cache over functools.singledispatch; effects now use that of core.dispatch. Three handlers of forwarded changes repeated the check for the leadership; it is one function now.

The comments and pages name the setting behind scarce bytes between zones, and avoid phrases that a new reader has to read twice. Behaviour is the same.

--- a/fescueyard/control/submissions.py
+++ b/fescueyard/control/submissions.py
@@ -172,35 +172,29 @@
 def _receive_change_request(
     message: messages.ChangeRequest, tables, peer_id, stream, now_ms
 ):
-    origin = control_tables.RemoteOrigin(stream, message.request_id)
-    if not lease.is_leader(tables.consensus):
-        report_result(tables, origin, change_result(codes.NO_LEADER))
-        return
-    submit_change(tables, message.change, origin, now_ms)
+    origin = _forwarded_origin(tables, stream, message.request_id)
+    if origin is not None:
+        submit_change(tables, message.change, origin, now_ms)
 
 
 @dispatch.receive.register
 def _receive_document_request(
     message: messages.DocumentChangeRequest, tables, peer_id, stream, now_ms
 ):
-    origin = control_tables.RemoteOrigin(stream, message.request_id)
-    if not lease.is_leader(tables.consensus):
-        report_result(tables, origin, change_result(codes.NO_LEADER))
-        return
-    submit_document(tables, message.change, origin, now_ms)
+    origin = _forwarded_origin(tables, stream, message.request_id)
+    if origin is not None:
+        submit_document(tables, message.change, origin, now_ms)
 
 
 @dispatch.receive.register
 def _receive_members_request(
     message: messages.MembersChangeRequest, tables, peer_id, stream, now_ms
 ):
-    origin = control_tables.RemoteOrigin(stream, message.request_id)
-    if not lease.is_leader(tables.consensus):
-        report_result(tables, origin, change_result(codes.NO_LEADER))
-        return
-    submit_members_change(
-        tables, message.member_id, message.add, origin, now_ms
-    )
+    origin = _forwarded_origin(tables, stream, message.request_id)
+    if origin is not None:
+        submit_members_change(
+            tables, message.member_id, message.add, origin, now_ms
+        )
 
 
 @dispatch.receive.register
@@ -212,6 +206,19 @@
         report_result(tables, pending.origin, message.result)
 
 
+def _forwarded_origin(tables, stream, request_id):
+    """Return the origin of a change that another member has forwarded.
+
+    None without the leadership, which is reported: forwarding the change once
+    more could go in a circle.
+    """
+    origin = control_tables.RemoteOrigin(stream, request_id)
+    if lease.is_leader(tables.consensus):
+        return origin
+    report_result(tables, origin, change_result(codes.NO_LEADER))
+    return None
+
+
 def _add_pending_proposal(tables, index, origin, now_ms):
     tables.pending_proposals[index] = control_tables.PendingChange(
         origin, now_ms + CHANGE_TIMEOUT_MS, tables.consensus.vote.term
--- a/fescueyard/core/dispatch.py
+++ b/fescueyard/core/dispatch.py
@@ -18,7 +18,7 @@
     stream: object
 
 
-def _dispatch_by_type(function):
+def dispatch_by_type(function):
     """Make a single-dispatch function that looks handlers up faster.
 
     ``functools.singledispatch`` takes three calls of Python functions for a
@@ -42,11 +42,10 @@
         return generic.register(*arguments)
 
     call.register = register
-    call.dispatch = generic.dispatch
     return call
 
 
-@_dispatch_by_type
+@dispatch_by_type
 def receive(message, tables, sender, now_ms):
     """Handle a message of another process.
 
@@ -61,7 +60,7 @@
     )
 
 
-@_dispatch_by_type
+@dispatch_by_type
 def handle(event, tables, now_ms):
     """Handle an event of this process: a timer or another package's result.
 
@@ -73,7 +72,7 @@
     raise TypeError(f"unknown event: {event!r}")
 
 
-@_dispatch_by_type
+@dispatch_by_type
 def handle_unsent(message, tables, address, now_ms):
     """Handle a message of which no byte was sent.
 
@@ -84,7 +83,7 @@
     """
 
 
-@_dispatch_by_type
+@dispatch_by_type
 def deduct_wait(message, waited_ms):
     """Deduct the time that a message waited from the time limits it carries.
 
--- a/fescueyard/keys/systems.py
+++ b/fescueyard/keys/systems.py
@@ -154,6 +154,7 @@
 
     :param headers: list of :class:`~fescueyard.core.http.Header`.
     :param reserved_names: names of further headers to remove.
+    :returns: list of the other headers.
     """
     kept = []
     listed_names = None
--- a/fescueyard/node/execution.py
+++ b/fescueyard/node/execution.py
@@ -7,6 +7,7 @@
 
 from fescueyard.core import addresses
 from fescueyard.core import codes
+from fescueyard.core import dispatch
 from fescueyard.core import effects
 from fescueyard.core import failures
 from fescueyard.core import http
@@ -56,7 +57,7 @@
         """
         for effect in pending:
             try:
-                _executor_of(type(effect))(effect, self)
+                _execute(effect, self)
             except Exception as error:
                 failures.contain(
                     LOG, "effect_failed", error, effect=type(effect).__name__
@@ -79,7 +80,7 @@
         self.run_completed(run_id, future.result())
 
 
-@functools.singledispatch
+@dispatch.dispatch_by_type
 def _execute(effect, executor):
     raise TypeError(f"unknown effect: {effect!r}")
 
@@ -161,12 +162,6 @@
         executor.client.cancel(future)
 
 
-@functools.cache
-def _executor_of(effect_type):
-    """Return the function that executes effects of a type."""
-    return _execute.dispatch(effect_type)
-
-
 @functools.singledispatch
 def _handle_failure(effect, executor):
     """Report an effect that could not be executed to what waits for it."""
--- a/fescueyard/node/pull.py
+++ b/fescueyard/node/pull.py
@@ -5,9 +5,10 @@
 copy current. Otherwise the node asks another source at once and leaves this
 one out for a while.
 
-Where bytes between zones are expensive, a node without a configuration asks
-the control process of its zone, or else the relays of its zone
-(:mod:`fescueyard.routing.zone_relays`); only those fetch it from another zone.
+Where bytes between zones are scarce (the setting ``link_mbps``), a node
+without a configuration asks the control process of its zone, or else the
+relays of its zone (:mod:`fescueyard.routing.zone_relays`); only those fetch it
+from another zone.
 It asks the next source only once the last one has said that it has nothing,
 or has been silent for as long as a large response may take.
 """
@@ -29,9 +30,11 @@
 PULL_JITTER_MS = 200
 # Shorter, as a process without any configuration can't serve requests.
 FIRST_PULL_INTERVAL_MS = 100
-# Where bytes between zones are expensive: time for a complete configuration to
-# arrive, and time in which a node that starts gets to know its zone.
+# Where bytes between zones are scarce: time for a complete configuration to
+# arrive.
 FIRST_RESPONSE_MS = 400
+# There as well: time in which a node that starts learns the members of its
+# zone.
 ZONE_KNOWN_MS = 300
 # Requests to the own zone before the others are asked as well.
 OWN_ZONE_REQUESTS = 8
