Explain by the slow start that requests use

The explanation weighted servers by the profile's slow start, requests by that of the service, which is none where servers are paced. Found in review by reading; the test of the next 20 requests now runs with a cold rate as well.

--- a/fescueyard/node/explanation.py
+++ b/fescueyard/node/explanation.py
@@ -230,7 +230,7 @@
     explanation.service = service
     profile = tables.profile_of(service)
     # Shown for rejected requests as well.
-    explanation.servers = _list_servers(tables, service, profile, now_ms)
+    explanation.servers = _list_servers(tables, service, now_ms)
     identity = route_parsing.identify(
         tables,
         route,
@@ -247,7 +247,7 @@
             tables, question, route_state, identity, explanation, now_ms
         )
     member = balancer.choose(
-        tables, service, set(), profile.slow_start_ms, now_ms
+        tables, service, set(), tables.slow_start_ms_of(service), now_ms
     )
     if member is None:
         raise exceptions.RequestError("", codes.NO_BACKEND)
@@ -299,7 +299,7 @@
         raise exceptions.RequestError("", codes.TURNED_AWAY)
 
 
-def _list_servers(tables, service, profile, now_ms):
+def _list_servers(tables, service, now_ms):
     """List the backend servers of a service, the best candidate first."""
     candidates = balancer.candidates(tables, service, set(), now_ms)
     candidate_ids = {member.node_id for member in candidates}
@@ -308,7 +308,7 @@
         is_node = member.role == routing_models.NODE_ROLE
         if not is_node or member.service != service:
             continue
-        view = _view_server(tables, member, profile, now_ms)
+        view = _view_server(tables, member, now_ms)
         if member.node_id not in candidate_ids:
             view.excluded = balancer.exclusion_reason(tables, member, now_ms)
         views.append(view)
@@ -316,16 +316,10 @@
     return views
 
 
-def _view_server(tables, member, profile, now_ms):
-    view = ServerView(
-        member.node_id,
-        member.zone,
-        "",
-        round(
-            balancer.load_score(tables, member, profile.slow_start_ms, now_ms),
-            3,
-        ),
-    )
+def _view_server(tables, member, now_ms):
+    slow_start_ms = tables.slow_start_ms_of(member.service)
+    score = balancer.load_score(tables, member, slow_start_ms, now_ms)
+    view = ServerView(member.node_id, member.zone, "", round(score, 3))
     target = tables.members.targets.get(member.node_id)
     if target is None:
         return view
--- a/tests/node/test_explanation.py
+++ b/tests/node/test_explanation.py
@@ -29,8 +29,18 @@
     return world.nodes["orders-zone-a"].tables
 
 
-def test_next_request_goes_where_the_explanation_says():
+@pytest.mark.parametrize("cold_rate_per_s", [0.0, 50.0])
+def test_next_request_goes_where_the_explanation_says(cold_rate_per_s):
     world = _start()
+    setups.put_object(
+        world,
+        "service",
+        "orders",
+        profile="standard",
+        cold_start_ms=3_000.0,
+        cold_rate_per_s=cold_rate_per_s,
+    )
+    world.run(4_000)
     tables = _tables(world)
     chosen = []
     for _ in range(20):
