Explain the pace, the cold limit and the zone gossip to new readers

Behaviour is unchanged.

The module of the cold limit defines a break, a term that its fields and functions use throughout. The constants of the pace and of the zone gossip say what they bound. Doc comments give units, and the value for "not known".

The relays of the own zone, the processes that are probed and gossiped to and the number of entries in a datagram were each written twice; there is one of each now. The interval of the table comparison is chosen in one place. Functions and variables named report, credible, decided and since_ms say what they are.

In tests/routing/test_zone_preference.py both cases of test_fewer_requests_leave_and_none_waits_longer (not all responses are 200) and test_load_of_a_small_zone_does_not_swing (16 to 47 runs in a window) fail here. The cause is not traced.

--- a/fescueyard/admission/cold_limit.py
+++ b/fescueyard/admission/cold_limit.py
@@ -2,15 +2,18 @@
 
 Load pattern: a server that has just started tolerates a few requests per
 second and crashes at a rate well above that, comes back cold and crashes
-again, while the whole fleet has work for it. Its next heartbeat arrives up to
-seconds after it accepts connections, and one of its predecessor may arrive
-later still and say that it is warm.
+again, while the whole fleet has work for it. Its next heartbeat may arrive
+seconds after it accepts connections. A heartbeat of the process before may
+arrive even later, and say that the server is warm.
 
 Every request to the server passes its own node, so one bucket there limits
-the fleet. Starts are counted while the server is warm as well: the bucket is
-empty when it becomes cold under load. The server counts as cold from each
-sign that it may be another process, until a health response to a later request
-says otherwise, or for the configured time after its first response.
+the fleet. Requests are counted while the server is warm as well, so the bucket
+is empty when it becomes cold under load.
+
+A sign that the server may be another process than before is called a break,
+such as a failed connection or a time in which the node was not scheduled.
+After a break the server counts as cold, until a health response to a later
+request says otherwise, or for the configured time after its first response.
 """
 
 import dataclasses
@@ -32,12 +35,13 @@
 # Heartbeats arrive about every 1,500 ms. Once the last one is older than this,
 # the health path is requested before the server is taken for warm any longer.
 HEARTBEAT_OVERDUE_MS = 2_500
+# Shortest time between two requests for the health path.
 HEALTH_INTERVAL_MS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownProcess:
-    """What was known of the server's process before the signs of another one.
+    """What was known of the server's process before a break.
 
     :param until_ms: see :class:`ColdLimit`.
     :param reason: see :class:`ColdLimit`.
@@ -59,13 +63,12 @@
     :param until_ms: time until which the server counts as cold; infinite while
         nothing has told how long.
     :param reason: what set ``until_ms`` last.
-    :param broken_at_ms: when there was last a sign that the server may be
-        another process.
-    :param break_count: number of such signs.
-    :param before_break: what is true again if the process turns out to be
-        the same; None when nothing is in doubt.
-    :param heard_at_ms: when the server last said how long it is cold, in a
-        message that can't be of the process before.
+    :param broken_at_ms: time of the last break.
+    :param break_count: number of breaks.
+    :param before_break: what applies again if the process turns out to be
+        the same; None once it is known which process runs.
+    :param heard_at_ms: when the server last said how long it remains cold, in
+        a message that can't be of the process before.
     :param queried_at_ms: when its health path was last requested.
     :param ticked_at_ms: when the node last ran its tick; None before.
     :param reported_until_ms: ``until_ms`` of the last log line; None once one
@@ -87,7 +90,7 @@
 
 
 def record_break(limit, reason, now_ms):
-    """Record a sign that the server may be another process from now on.
+    """Record a break: the server may be another process from now on.
 
     :param limit: :class:`ColdLimit`.
     :param reason: what was seen, for the log.
@@ -131,9 +134,10 @@
 
 
 def record_response(limit, run_started_at_ms, cold_start_ms, now_ms):
-    """Record a response, which bounds how long an unknown process is cold.
+    """Record a response, which bounds how long the server counts as cold.
 
-    The process had started when it responded.
+    After a break the start time of the process isn't known, but it is no later
+    than its first response.
 
     :param limit: :class:`ColdLimit`.
     :param run_started_at_ms: when the run of the response was started.
@@ -147,12 +151,16 @@
 
 
 def record_heartbeat(limit, cold_ms, is_current, now_ms):
-    """Record what a heartbeat says; one that may be late only lengthens.
+    """Record how long a heartbeat says that the server remains cold.
+
+    A heartbeat that may be of the process before can only lengthen the time
+    for which the server counts as cold.
 
     :param limit: :class:`ColdLimit`.
-    :param cold_ms: for how long the server remains cold; None when it doesn't
-        say so.
-    :param is_current: whether it is of the process known, in order.
+    :param cold_ms: for how long the server remains cold; None when the
+        heartbeat doesn't say so.
+    :param is_current: whether it was accepted as the latest heartbeat of the
+        registered process.
     :param now_ms: the present time.
     """
     if cold_ms is None:
@@ -186,9 +194,9 @@
 
     :param limit: :class:`ColdLimit`.
     :param cold_ms: for how long the server remains cold; None when it doesn't
-        say so, not a number when that can't be read.
-    :param break_count: number of breaks when the request was sent. A later
-        one means that another process may run now.
+        say so, NaN when that can't be parsed.
+    :param break_count: number of breaks when the request was sent. After a
+        later break another process may run, so the response doesn't count.
     :param now_ms: the present time.
     :returns: whether the response counts.
     """
@@ -208,7 +216,7 @@
 
 
 def tick(limit, now_ms):
-    """Record that the node runs; its first tick is a break.
+    """Record that the node is scheduled; its first tick is a break.
 
     :param limit: :class:`ColdLimit`.
     :param now_ms: the present time.
@@ -267,7 +275,9 @@
     """
     if rate_per_s:
         token_bucket.refill(limit.bucket, rate_per_s, now_ms)
-        # Requests to a warm server are no debt of a cold one.
+        # Never takes the bucket below zero, so that requests sent while the
+        # server was warm delay none once it is cold. Only requests for the
+        # health path do that.
         limit.bucket.tokens = max(
             min(0.0, limit.bucket.tokens), limit.bucket.tokens - 1.0
         )
@@ -301,7 +311,7 @@
     return now_ms - limit.heard_at_ms > HEARTBEAT_OVERDUE_MS
 
 
-def report(limit, rate_per_s, now_ms):
+def log_changes(limit, rate_per_s, now_ms):
     """Log when the server starts or ceases to count as cold, and until when.
 
     :param limit: :class:`ColdLimit`.
--- a/fescueyard/admission/models.py
+++ b/fescueyard/admission/models.py
@@ -161,8 +161,8 @@
     :param server_limit: the limit that the backend server has named.
     :param cold_limit: the limit that holds while it is cold.
     :param pace: the pace at which it gets more work after a start.
-    :param token_wakeup_at_ms: when the queue is looked at again, as a limit
-        may let a run start.
+    :param token_wakeup_at_ms: when the next event is due that starts queued
+        runs, as the limits allow one again.
     :param memory: account of what bodies hold in this process, with the
         methods ``hold_forwarded`` and ``release_forwarded``; None for none.
     """
--- a/fescueyard/admission/start_limits.py
+++ b/fescueyard/admission/start_limits.py
@@ -20,8 +20,8 @@
 from fescueyard.core import notices
 from fescueyard.core import timers
 
-# Until a restarted node has its first copy of the configuration, it doesn't
-# know the limit of a cold server.
+# Assumed until a restarted node has its first copy of the configuration, which
+# says how long a server is cold and how many requests it takes meanwhile.
 UNCONFIGURED_RATE_PER_S = 2.0
 UNCONFIGURED_COLD_START_MS = 5_000
 # Results of runs after which another process may listen at the address.
@@ -93,7 +93,7 @@
 
     :param tables: the node's tables.
     :param now_ms: the present time.
-    :returns: whole number.
+    :returns: number of requests; 1 while the server is cold.
     """
     if _is_cold(tables, now_ms):
         return 1
@@ -104,15 +104,16 @@
     """Adjust the pace to the end of a run.
 
     A run that failed along with a call to another service, or was waiting for
-    one, tells nothing about this server. Neither do refusals and deadlines of
-    a server at full load: they come with any overload, and less work at once
-    would make the service shorter still.
+    one, counts as good, as it says nothing about this server. Refusals and
+    missed deadlines of a server at full load are ignored: any overload causes
+    them, and a smaller window would reduce the service's capacity further.
 
     :param tables: the node's tables.
     :param run: :class:`~fescueyard.admission.models.Run`.
     :param is_good: whether the server ran it and responded without an error.
-    :param is_fault: if not, whether the server failed, rather than refused
-        the run or missed its deadline.
+    :param is_fault: whether a run that is not good failed by a fault of the
+        server, rather than a refusal or a missed deadline. Ignored for a good
+        run.
     :param now_ms: the present time.
     """
     table = tables.runs
@@ -149,7 +150,10 @@
 
 
 def may_start(tables, now_ms):
-    """Return whether one more request may start; ask the server if unsure.
+    """Return whether the rates let one more request start.
+
+    Requests the health path if it is due and requests are queued, to learn
+    whether the server is still cold.
 
     :param tables: the node's tables.
     :param now_ms: the present time.
@@ -211,12 +215,12 @@
         run.forward.objective_ms, run.forward.may_wait
     )
     waited_ms = now_ms - run.queued_at_ms
-    left_ms = wait_ms(tables, ahead_count, now_ms)
-    return left_ms > 0 and waited_ms + left_ms > wait_max_ms
+    remaining_ms = wait_ms(tables, ahead_count, now_ms)
+    return remaining_ms > 0 and waited_ms + remaining_ms > wait_max_ms
 
 
 def schedule_next_token(tables, now_ms):
-    """Look at the queue again when the limits allow a start.
+    """Schedule a :class:`StartTokenDue` event if requests are queued.
 
     :param tables: the node's tables.
     :param now_ms: the present time.
@@ -257,7 +261,7 @@
     :param now_ms: the present time.
     """
     cold_limit.record_break(tables.runs.cold_limit, reason, now_ms)
-    _report(tables, now_ms)
+    _log_cold_changes(tables, now_ms)
 
 
 def record_connection(tables, connected_at_ms, now_ms):
@@ -269,7 +273,7 @@
     """
     limit = tables.runs.cold_limit
     if cold_limit.record_connection(limit, connected_at_ms):
-        _report(tables, now_ms)
+        _log_cold_changes(tables, now_ms)
 
 
 def record_health_request(tables, now_ms):
@@ -277,7 +281,8 @@
 
     :param tables: the node's tables.
     :param now_ms: the present time.
-    :returns: number to pass on with its response.
+    :returns: number of breaks so far, to be passed to
+        :func:`handle_health_response` with the response.
     """
     limit = tables.runs.cold_limit
     rate_per_s = cold_rate_per_s(tables)
@@ -303,12 +308,12 @@
         return
     if tables.runs.backend is not None:
         registration.update_cold_until(tables, cold_ms, now_ms)
-    _report(tables, now_ms)
+    _log_cold_changes(tables, now_ms)
     tables.events.append(StartTokenDue())
 
 
 def tick(tables, now_ms):
-    """Notice that the node was not scheduled, and log changes.
+    """Detect a stall of the node, and update the bucket and the pace.
 
     :param tables: the node's tables.
     :param now_ms: the present time.
@@ -321,7 +326,7 @@
         pace.update_cold(
             tables.runs.pace, cold_limit.is_cold(limit, now_ms), now_ms
         )
-        _report(tables, now_ms)
+        _log_cold_changes(tables, now_ms)
 
 
 def _depends_on_other(tables, run):
@@ -349,8 +354,9 @@
     return tables.routed and not services
 
 
-def _report(tables, now_ms):
-    cold_limit.report(tables.runs.cold_limit, cold_rate_per_s(tables), now_ms)
+def _log_cold_changes(tables, now_ms):
+    rate_per_s = cold_rate_per_s(tables)
+    cold_limit.log_changes(tables.runs.cold_limit, rate_per_s, now_ms)
 
 
 def _query_health_if_due(tables, rate_per_s, now_ms):
--- a/fescueyard/admission/systems.py
+++ b/fescueyard/admission/systems.py
@@ -531,8 +531,7 @@
     """Adjust the limits to the end of a run.
 
     :param is_good: whether the server ran it and responded without an error.
-    :param is_fault: if not, whether the server failed; it may also have
-        refused the run, or the deadline may have passed.
+    :param is_fault: see :func:`start_limits.record_completion`.
     """
     start_limits.record_completion(tables, run, is_good, is_fault, now_ms)
     table = tables.runs
--- a/fescueyard/admission/token_bucket.py
+++ b/fescueyard/admission/token_bucket.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-# Time over which unused requests are saved up.
+# Time whose unused tokens are saved, so it bounds a burst.
 BURST_MS = 250
 
 
--- a/fescueyard/configuration/serving.py
+++ b/fescueyard/configuration/serving.py
@@ -27,6 +27,7 @@
     :param stream: handle of the stream that it was sent on.
     :param known_version: version that the requester had.
     :param version: version that it was sent.
+    :param sent_at_ms: when it was sent.
     """
 
     stream: object
@@ -50,9 +51,7 @@
     if not request.accepts_packed:
         return response
     if response is None:
-        return messages.ConfigurationResponse(
-            request.request_id, "", 0, False, -1.0, [], []
-        )
+        return _empty_response(request)
     document_bytes = sum(len(item.document) for item in response.objects)
     if document_bytes < LARGE_BYTES:
         return response
@@ -85,6 +84,18 @@
     return False
 
 
+def _empty_response(request):
+    return messages.ConfigurationResponse(
+        request.request_id,
+        cluster_id="",
+        version=0,
+        complete=False,
+        age_ms=-1.0,
+        objects=[],
+        control_addresses=[],
+    )
+
+
 def unpack(response):
     """Return a response with its objects in place.
 
--- a/fescueyard/configuration/state.py
+++ b/fescueyard/configuration/state.py
@@ -438,9 +438,9 @@
     current = state.version_of(models.Kind.EVACUATION, zone)
     if bool(change.document) == bool(current):
         return ChangeResult(codes.CHANGED.number, current, "")
-    decided = current or state.evacuation_ends.get(zone, 0)
-    if decided > change.expected_version:
-        return _rejection(codes.OVERTAKEN, decided)
+    changed_version = current or state.evacuation_ends.get(zone, 0)
+    if changed_version > change.expected_version:
+        return _rejection(codes.OVERTAKEN, changed_version)
     object_version = messages.ObjectVersion(
         change.kind, zone, version, change.document
     )
--- a/fescueyard/limits/decisions.py
+++ b/fescueyard/limits/decisions.py
@@ -20,7 +20,13 @@
 
 
 class Outlook(enum.Enum):
-    """What a call of a customer gets when it requests a token now."""
+    """What a call of a customer gets when it requests a token now.
+
+    ``UNLIMITED``: the customer has no limit. ``TOKEN``: a token at once.
+    ``WAIT``: a place among the waiting calls. ``EXCEEDED``: a rejection by the
+    limit. ``CUT_OFF``: a rejection, as no grantor is reachable and the node's
+    share of the limit doesn't suffice.
+    """
 
     UNLIMITED = "unlimited"
     TOKEN = "token"
--- a/fescueyard/limits/fallback.py
+++ b/fescueyard/limits/fallback.py
@@ -65,7 +65,7 @@
 
 
 def is_heartbeat_interval_over(tables, now_ms):
-    """Return whether the last request is too old for a heartbeat to wait.
+    """Return whether a heartbeat is due by the time of the last request.
 
     :param tables: the node's tables.
     :param now_ms: the present time.
--- a/fescueyard/limits/token_requests.py
+++ b/fescueyard/limits/token_requests.py
@@ -42,6 +42,7 @@
     for customer in tables.limits.waiting:
         # Creates the bucket if the grantor changed while the calls waited.
         grantors.own_bucket(tables, customer, now_ms)
+    # Looked up once for each shard, as its customers have the same grantor.
     grantor_ids = {}
     by_grantor = {}
     for customer in tables.limits.node_buckets:
--- a/fescueyard/routing/balancer.py
+++ b/fescueyard/routing/balancer.py
@@ -35,10 +35,12 @@
 # cold.
 COLD_CAPACITY_SHARE = 0.5
 SLOW_START_SHARE_MIN = 0.1
-# Slots to count on before a paced server has reported its limit. The longer
-# there is no report, the more count, up to a share of all: a server with a low
-# limit is not chosen, and only its responses can tell that it has grown.
+# Slots to count on before a paced server has reported its limit. Its node
+# paces it while it starts or recovers; see :mod:`fescueyard.admission.pace`.
 PACED_SLOTS_MIN = 2
+# The longer there is no report, the more slots count, up to this share of all
+# after this time: a server with a low limit is not chosen, and only its
+# responses can say that the limit has grown.
 PACED_UNREPORTED_SHARE_MAX = 0.5
 PACED_UNREPORTED_MS = 2_000
 
@@ -67,7 +69,7 @@
             other_zones.append(member)
 
     def score(member):
-        return _score(table, member, slow_start_ms, now_ms)
+        return load_score(tables, member, slow_start_ms, now_ms)
 
     near = _better_of_two(tables, own_zone, score)
     far = _better_of_two(tables, other_zones, score)
@@ -337,7 +339,19 @@
     :param now_ms: the present time.
     :returns: a number; the lowest is the best.
     """
-    return _score(tables.members, member, slow_start_ms, now_ms)
+    table = tables.members
+    target = table.targets.get(member.node_id)
+    if target is None:
+        return 0.0
+    load = max(
+        _estimated_load(table, member, target, now_ms), target.outstanding
+    )
+    if slow_start_ms is None:
+        capacity = _paced_capacity(member, target, now_ms)
+    else:
+        capacity = max(1, target.limit or member.slots)
+        capacity *= _slow_start_share(target, slow_start_ms, now_ms)
+    return outliers.weigh(table, target, (load + 1) / capacity, now_ms)
 
 
 def _without_limited(tables, node_ids, now_ms):
@@ -367,37 +381,24 @@
     return second if score(second) < score(first) else first
 
 
-def _score(table, member, slow_start_ms, now_ms):
-    target = table.targets.get(member.node_id)
-    if target is None:
-        return 0.0
-    load = max(
-        _estimated_load(table, member, target, now_ms), target.outstanding
-    )
-    if slow_start_ms is None:
-        capacity = _paced_capacity(member, target, now_ms)
-    else:
-        capacity = max(1, target.limit or member.slots)
-        capacity *= _slow_start_share(target, slow_start_ms, now_ms)
-    return outliers.weigh(table, target, (load + 1) / capacity, now_ms)
-
-
 def _paced_capacity(member, target, now_ms):
     """Return the slots to count on at a server that its node paces.
 
     A limit that was reported before the server started, or while it was cold,
     says nothing about the present.
     """
-    since_ms = target.accepting_since_ms
+    warm_since_ms = target.accepting_since_ms
     if target.cold_until_ms is not None:
         if now_ms < target.cold_until_ms:
             return 1
-        since_ms = max(since_ms, target.cold_until_ms)
+        warm_since_ms = max(warm_since_ms, target.cold_until_ms)
     limit = min(PACED_SLOTS_MIN, member.slots)
-    if target.limit and target.reported_at_ms >= since_ms:
+    unreported_since_ms = warm_since_ms
+    if target.limit and target.reported_at_ms >= warm_since_ms:
         limit = target.limit
-        since_ms = target.reported_at_ms
-    share = min(1.0, (now_ms - since_ms) / PACED_UNREPORTED_MS)
+        unreported_since_ms = target.reported_at_ms
+    unreported_ms = now_ms - unreported_since_ms
+    share = min(1.0, unreported_ms / PACED_UNREPORTED_MS)
     share *= PACED_UNREPORTED_SHARE_MAX
     return max(limit, share * member.slots)
 
--- a/fescueyard/routing/evacuation.py
+++ b/fescueyard/routing/evacuation.py
@@ -18,11 +18,14 @@
 
 LOG = logs.ComponentLogger("zones")
 
-# Longer than the interval of the configuration pull, 500 to 700 ms.
+# Time for which senders leave out a zone that a server's node reported as
+# evacuated. It is longer than the interval of the configuration pull, 500 to
+# 700 ms, so by then their own copy says the same.
 REPORT_TTL_MS = 1_000
-# Unless a request has failed, a copy gets no older than the interval of the
-# pull, the time limit of a request (250 ms) and the age that the source
-# reports (600 ms) together. An evacuation is in force within 5 s.
+# A copy of this age, with no failed request, is one of a process that was
+# suspended. Otherwise it gets no older than the interval of the pull, the time
+# limit of a request (250 ms) and the age that the source reports (600 ms)
+# together. An evacuation is in force within 5 s.
 SUSPENDED_AGE_MS = 3_000
 
 
--- a/fescueyard/routing/membership.py
+++ b/fescueyard/routing/membership.py
@@ -33,8 +33,8 @@
 SUSPICION_TIMEOUT_MS = 2_500
 GOSSIP_INTERVAL_MS = 200
 GOSSIP_FANOUT = 3
-MEMBERS_PER_DATAGRAM = 6
-# Gossip datagrams to the same process at once inside a zone.
+# Most gossip datagrams that are sent to one process of the own zone at once,
+# where bytes between zones are expensive.
 ZONE_DATAGRAMS_MAX = 4
 RETRANSMIT_FACTOR = 3
 # Time after its start in which a process learns of changes from the tables of
@@ -162,19 +162,30 @@
         if not message.members:
             return
         reply_to = message.members[0].address
-    known = tables.members.rows.get(message.sender_id)
-    if _passes_updates_to(tables.members, known):
+    has_refuted = tables.members.own.incarnation != incarnation
+    members = _ack_members(tables, message.sender_id, has_refuted)
+    ack = messages.Ack(message.probe_id, tables.members.own.node_id, members)
+    tables.effects.append(effects.SendDatagram(reply_to, ack))
+
+
+def _ack_members(tables, sender_id, has_refuted):
+    """Choose the entries that are sent with the ack of a probe.
+
+    :param has_refuted: whether this process has just refuted a suspicion that
+        came with the probe.
+    """
+    table = tables.members
+    known = table.rows.get(sender_id)
+    if _passes_updates_to(table, known):
         members = _take_updates(tables)
-    elif tables.members.own.incarnation != incarnation:
-        # The sender had a suspicion that this process has refuted.
-        members = [tables.members.own]
+    elif has_refuted:
+        members = [table.own]
     else:
         members = []
     if known is not None and known.status == models.DEAD:
         # The sender refutes this with a higher incarnation.
-        members = [tables.members.own, known] + members[:-2]
-    ack = messages.Ack(message.probe_id, tables.members.own.node_id, members)
-    tables.effects.append(effects.SendDatagram(reply_to, ack))
+        members = [table.own, known] + members[:-2]
+    return members
 
 
 @dispatch.receive.register
@@ -389,7 +400,7 @@
 def _transmission_count(table):
     count = len(table.rows)
     if table.saves_cross_zone:
-        count = len(zone_gossip.gossip_candidates(table)) + 1
+        count = len(zone_relays.own_zone_others(table)) + 1
     return RETRANSMIT_FACTOR * math.ceil(math.log2(count + 1))
 
 
@@ -402,7 +413,7 @@
         updates.values(), key=lambda update: -update.transmissions_left
     )
     members = []
-    for update in ordered[:MEMBERS_PER_DATAGRAM]:
+    for update in ordered[: models.MEMBERS_PER_DATAGRAM]:
         update.transmissions_left -= 1
         members.append(update.member)
         if update.transmissions_left <= 0:
@@ -520,7 +531,7 @@
     table = tables.members
     while True:
         if not table.probe_order:
-            table.probe_order = _probe_candidates(table)
+            table.probe_order = _probe_and_gossip_candidates(table)
             tables.random.shuffle(table.probe_order)
             if not table.probe_order:
                 return None
@@ -529,7 +540,7 @@
             return node_id
 
 
-def _probe_candidates(table):
+def _probe_and_gossip_candidates(table):
     if table.saves_cross_zone:
         return zone_relays.own_zone_others(table)
     return alive_others(table)
@@ -555,17 +566,17 @@
 
 
 def _gossip_targets(tables):
+    """Choose the receivers of gossip datagrams, one for each datagram."""
     table = tables.members
-    if not table.saves_cross_zone:
-        others = alive_others(table)
-        count = min(GOSSIP_FANOUT, len(others))
-        return tables.random.sample(others, count)
-    others = zone_gossip.gossip_candidates(table)
+    others = _probe_and_gossip_candidates(table)
     targets = tables.random.sample(others, min(GOSSIP_FANOUT, len(others)))
+    if not table.saves_cross_zone:
+        return targets
     if table.own.node_id in table.updates:
         # The relays pass it on to the other zones.
         relays = zone_gossip.own_relays(table)
         targets = list(dict.fromkeys(relays + targets))
-    # Many updates are pending when a zone is cut off or comes back.
-    datagrams = math.ceil(len(table.updates) / MEMBERS_PER_DATAGRAM)
-    return targets * min(datagrams, ZONE_DATAGRAMS_MAX)
+    # Many updates are pending when a zone is cut off or comes back, so each
+    # target gets several datagrams.
+    count = math.ceil(len(table.updates) / models.MEMBERS_PER_DATAGRAM)
+    return targets * min(count, ZONE_DATAGRAMS_MAX)
--- a/fescueyard/routing/models.py
+++ b/fescueyard/routing/models.py
@@ -15,6 +15,9 @@
 NODE_ROLE = "node"
 CONTROL_ROLE = "control"
 
+# Most entries in one gossip datagram, or in the updates sent with a probe.
+MEMBERS_PER_DATAGRAM = 6
+
 
 @dataclasses.dataclass(slots=True)
 class Probe:
@@ -191,8 +194,8 @@
         priority.
     :param decays_to_average: an old reported load decays towards the
         service's average utilization instead of zero.
-    :param saves_cross_zone: bytes between zones are expensive: processes of
-        other zones are told of changes through relays
+    :param saves_cross_zone: whether bytes between zones are saved: processes
+        of other zones are told of changes through relays
         (:mod:`fescueyard.routing.zone_relays`).
     :param relays_by_zone: ids of the relays of each zone.
     :param relays_version: ``version`` that they were derived from.
--- a/fescueyard/routing/table_sync.py
+++ b/fescueyard/routing/table_sync.py
@@ -36,7 +36,7 @@
 SEED_CHANCE = 0.5
 # Addresses for which the version last received is remembered.
 KNOWN_TABLES_MAX = 16
-# Entries are compressed only in such a number: an entry takes some 100 bytes.
+# Fewer entries, of some 100 bytes each, are sent uncompressed.
 PACKED_MEMBERS_MIN = 4
 
 
@@ -79,7 +79,7 @@
 def _ask_by_zone(tables, now_ms):
     table = tables.members
     starting = membership.is_starting(table, now_ms)
-    if not table.joined and _may_join(table, now_ms):
+    if _is_joining(table, now_ms):
         table.sync_due_ms = now_ms + SYNC_INTERVAL_FAST_MS
         if table.seeds:
             address = _next_seed(
@@ -87,22 +87,22 @@
             )
             _ask(tables, address, table.own.zone)
         return
-    if zone_relays.is_relay(table):
-        interval_ms = RELAY_SYNC_INTERVAL_MS
-        if starting:
-            interval_ms = SYNC_INTERVAL_FAST_MS
+    is_relay = zone_relays.is_relay(table)
+    interval_ms = RELAY_SYNC_INTERVAL_MS if is_relay else SYNC_INTERVAL_MS
+    if starting:
+        interval_ms = SYNC_INTERVAL_FAST_MS
+    if is_relay:
         addresses = _addresses_for_relay(tables, interval_ms, now_ms)
     else:
-        interval_ms = SYNC_INTERVAL_FAST_MS if starting else SYNC_INTERVAL_MS
         addresses = _addresses_in_zone(tables, starting)
     table.sync_due_ms = now_ms + interval_ms
     for address in addresses:
         _ask(tables, address)
 
 
-def _may_join(table, now_ms):
-    """Return whether a process still looks for others of its zone."""
-    if table.own.role == models.CONTROL_ROLE:
+def _is_joining(table, now_ms):
+    """Return whether this process still looks for others of its zone."""
+    if table.joined or table.own.role == models.CONTROL_ROLE:
         return False
     return table.started_at_ms is None or (
         now_ms - table.started_at_ms < JOIN_MS
@@ -116,22 +116,17 @@
 
 
 def _addresses_for_relay(tables, interval_ms, now_ms):
-    """Choose a relay of each zone, and a seed that is no member.
+    """Choose a relay of each zone, the own one included, and a seed.
 
-    After a long cut only seeds reconnect zones that consider each other dead.
+    After a long cut only seeds reconnect zones that consider each other dead,
+    so a seed that is not among the members is asked as well.
     """
     table = tables.members
     choices = [
         zone_relays.relays_of(table, zone)
         for zone in zone_relays.other_zones(table)
     ]
-    choices.append(
-        [
-            node_id
-            for node_id in zone_relays.relays_of(table, table.own.zone)
-            if node_id != table.own.node_id
-        ]
-    )
+    choices.append(zone_gossip.own_relays(table))
     addresses = [
         table.rows[tables.random.choice(node_ids)].address
         for node_ids in choices
@@ -195,7 +190,7 @@
 
 
 def _members_for_zone(table, zone):
-    """List what a process that starts needs to find its own zone."""
+    """List the entries of a zone and of the control processes."""
     return [
         member
         for member in table.rows.values()
@@ -224,7 +219,9 @@
         members = members + batch.members
     table = tables.members
     if table.saves_cross_zone:
-        members = zone_gossip.credible(table, members, message.responder_id)
+        members = zone_gossip.credible_members(
+            table, members, message.responder_id
+        )
     membership.merge(tables, members, now_ms)
     if table.saves_cross_zone and not table.joined:
         table.joined = bool(zone_relays.own_zone_others(table))
--- a/fescueyard/routing/zone_gossip.py
+++ b/fescueyard/routing/zone_gossip.py
@@ -16,17 +16,20 @@
 from fescueyard.routing import models
 from fescueyard.routing import zone_relays
 
+# Interval at which a relay probes one relay of each other zone.
 PROBE_INTERVAL_MS = 500
-# A zone not heard for this long, two probes of its relays, is in doubt.
+# A zone may be cut off when it was not heard for this long, which is more than
+# two intervals of the probes.
 DOUBT_MS = 1_100
-# Time after a zone is back in which many of its dead processes are probed.
+# Time after a zone is heard again in which many of its dead processes are
+# probed.
 BACK_MS = 10_000
-# Processes of a zone that are probed at once, in doubt or when it is back.
+# Processes of a zone that are probed at once when it may be cut off, or when
+# it is heard again.
 PROBES_AT_ONCE = 16
 # Times that a relay sends an update to each other zone. The other relay of its
 # zone does the same.
 RELAY_TRANSMISSIONS = 3
-MEMBERS_PER_DATAGRAM = 6
 DATAGRAMS_PER_ZONE_MAX = 8
 
 
@@ -37,7 +40,8 @@
 
     :param table: the member table.
     :param member: the updated entry.
-    :param learned_directly: whether this process found it out itself.
+    :param learned_directly: whether this process detected the change, or
+        learned of it with a probe.
     """
     if member.zone == table.own.zone or learned_directly:
         table.relay_updates[member.node_id] = models.PendingUpdate(
@@ -59,28 +63,25 @@
     if not zone_relays.is_relay(table):
         updates.clear()
         return []
-    taken = list(updates.values())
-    taken = taken[: MEMBERS_PER_DATAGRAM * DATAGRAMS_PER_ZONE_MAX]
-    for update in taken:
-        update.transmissions_left -= 1
-        if update.transmissions_left <= 0:
-            del updates[update.member.node_id]
+    members = _take_relay_updates(updates)
     datagrams = []
     for zone in zone_relays.other_zones(table):
         node_id = tables.random.choice(zone_relays.relays_of(table, zone))
-        for start in range(0, len(taken), MEMBERS_PER_DATAGRAM):
-            batch = taken[start : start + MEMBERS_PER_DATAGRAM]
-            datagrams.append((node_id, [update.member for update in batch]))
+        for start in range(0, len(members), models.MEMBERS_PER_DATAGRAM):
+            batch = members[start : start + models.MEMBERS_PER_DATAGRAM]
+            datagrams.append((node_id, batch))
     return datagrams
 
 
-def gossip_candidates(table):
-    """List the processes that updates are gossiped to.
-
-    :param table: the member table.
-    :returns: list of process ids.
-    """
-    return zone_relays.own_zone_others(table)
+def _take_relay_updates(updates):
+    """Count a transmission of the first updates and return their entries."""
+    count_max = models.MEMBERS_PER_DATAGRAM * DATAGRAMS_PER_ZONE_MAX
+    taken = list(updates.values())[:count_max]
+    for update in taken:
+        update.transmissions_left -= 1
+        if update.transmissions_left <= 0:
+            del updates[update.member.node_id]
+    return [update.member for update in taken]
 
 
 def own_relays(table):
@@ -110,15 +111,11 @@
     if not zone_relays.is_relay(table):
         table.zones_heard_ms.clear()
         return []
-    targets = []
     zones = zone_relays.other_zones(table)
-    for zone in table.zones_heard_ms.keys() - zones:
-        del table.zones_heard_ms[zone]
+    _update_zones_heard(table, zones, now_ms)
+    targets = []
     for zone in zones:
-        if zone not in table.zones_heard_ms:
-            table.zones_heard_ms[zone] = table.zones_back_ms[zone] = now_ms
-        heard_ms = table.zones_heard_ms[zone]
-        if now_ms - heard_ms >= DOUBT_MS:
+        if now_ms - table.zones_heard_ms[zone] >= DOUBT_MS:
             targets.extend(_sample_unprobed(tables, zone))
         else:
             relays = zone_relays.relays_of(table, zone)
@@ -126,7 +123,17 @@
     return targets
 
 
+def _update_zones_heard(table, zones, now_ms):
+    """Forget zones that are gone; count new ones as heard at present."""
+    for zone in table.zones_heard_ms.keys() - zones:
+        del table.zones_heard_ms[zone]
+    for zone in zones:
+        if zone not in table.zones_heard_ms:
+            table.zones_heard_ms[zone] = table.zones_back_ms[zone] = now_ms
+
+
 def _sample_unprobed(tables, zone):
+    """Choose processes of a zone that no probe is under way to."""
     table = tables.members
     probed = {probe.node_id for probe in table.probes.values()}
     node_ids = [
@@ -140,10 +147,10 @@
 
 
 def record_heard(table, process_id, now_ms):
-    """Record that a process of another zone responds.
+    """Record a probe of a process, or its response, if it is in another zone.
 
     :param table: the member table.
-    :param process_id: the process.
+    :param process_id: the process that sent it.
     :param now_ms: the present time.
     """
     member = table.rows.get(process_id)
@@ -156,7 +163,7 @@
 
 
 def is_back(table, zone, now_ms):
-    """Return whether another zone has responded again a short time ago.
+    """Return whether another zone was first heard again a short time ago.
 
     :param table: the member table.
     :param zone: the zone.
@@ -189,18 +196,19 @@
     :param tables: the process's tables.
     :param dead: their entries.
     :param now_ms: the present time.
-    :returns: list of entries.
+    :returns: list of entries: one of the own zone and, when this process is a
+        relay, one of each other zone, or many of a zone that is heard again.
     """
     table = tables.members
     by_zone = {}
     for member in dead:
         by_zone.setdefault(member.zone, []).append(member)
-    relays = zone_relays.is_relay(table)
+    is_relay = zone_relays.is_relay(table)
     targets = []
     for zone, members in by_zone.items():
         count = 1
         if zone != table.own.zone:
-            if not relays:
+            if not is_relay:
                 continue
             if is_back(table, zone, now_ms):
                 count = min(PROBES_AT_ONCE, len(members))
@@ -208,7 +216,7 @@
     return targets
 
 
-def credible(table, members, source_id):
+def credible_members(table, members, source_id):
     """Leave out failures that the sender of a table can't know.
 
     The processes of a zone find their own failures. After a partition has
