Reject responses whose status is not one of HTTP

What callers saw: a server in trouble sent a response with status 000, and the caller got it as an answer ("HTTP/1.1 0 Unknown", MIXED). With the header that says a request has not run, it became a promise (503, 2210) that nothing stands behind.

Cause: the client of the backend server took the status as the parser gave it. The parser accepts any three digits; it only refuses other lengths.

Why it works: each response that the node reads passes on_headers_complete, which now checks the status against the range of HTTP (100 to 599) before anything of the response is used. Outside it the response is malformed, like bytes that the parser refuses: 2303, may have run, and the connection is closed. The log names the reason for both (answer_malformed); bytes that the parser refused left no line before. Nothing is collected any more from bytes behind the end of a request.

The stand-in for raw responses moved to a module of its own, unchanged but for writing in pieces.

--- a/demo/backend.py
+++ b/demo/backend.py
@@ -3,10 +3,11 @@
 ``/call/SERVICE/PATH`` calls another service through the node; ``/echo``
 returns the body and headers of the request; ``/crash`` ends the process;
 ``/short`` truncates its response; ``/drop`` closes the connection without a
-response. Any other path, such as ``/work?ms=5``, responds after ``ms``
-milliseconds with the ``status`` and ``body`` of its query, the body repeated
-``times`` times. Each request is appended to the run log as one line of JSON
-before anything else is done.
+response; ``/raw`` sends the bytes of its query's ``response``, with the id of
+the request in place of ``{id}``, and closes the connection. Any other path,
+such as ``/work?ms=5``, responds after ``ms`` milliseconds with the ``status``
+and ``body`` of its query, the body repeated ``times`` times. Each request is
+appended to the run log as one line of JSON before anything else is done.
 """
 
 import asyncio
@@ -70,6 +71,12 @@
             head = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\nhalf"
             connection._transport.write(head)
             connection._transport.close()
+        elif split.path == "/raw":
+            response = query["response"].replace(
+                "{id}", request.header(REQUEST_ID_HEADER) or ""
+            )
+            connection._transport.write(response.encode("latin-1"))
+            connection._transport.close()
         elif split.path == "/echo":
             headers = {header.name: header.value for header in request.headers}
             echo = {"headers": headers, "body": request.body.decode()}
--- a/fescueyard/core/exceptions.py
+++ b/fescueyard/core/exceptions.py
@@ -57,6 +57,15 @@
     code = codes.PEER_REFUSED
 
 
+class ResponseError(FescueyardError):
+    """The response of a backend server is malformed.
+
+    It is known neither whether the request ran nor what came of it.
+    """
+
+    code = codes.SHORT_ANSWER
+
+
 class InconsistentTablesError(FescueyardError):
     """Tables were left half changed; the process must end.
 
--- a/fescueyard/core/http.py
+++ b/fescueyard/core/http.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+STATUS_MIN = 100
+STATUS_MAX = 599
+
 
 @dataclasses.dataclass(slots=True)
 class Header:
@@ -64,3 +67,12 @@
         if header.name == name:
             return header.value
     return None
+
+
+def is_valid_status(status):
+    """Return whether a number is a status of HTTP.
+
+    :param status: the number in a response.
+    :returns: bool.
+    """
+    return STATUS_MIN <= status <= STATUS_MAX
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -13,10 +13,12 @@
 
 from fescueyard.core import clock
 from fescueyard.core import codes
+from fescueyard.core import exceptions
 from fescueyard.core import http
 from fescueyard.core import logs
 from fescueyard.core import notices
 from fescueyard.core import text as text_checks
+from fescueyard.transport import response_head
 from fescueyard.transport import sockets
 
 LOG = logs.ComponentLogger("backend")
@@ -169,9 +171,9 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._fail(codes.SHORT_ANSWER)
-        except httptools.HttpParserError:
-            self._handle_parse_error()
+            self._handle_parse_error("upgrade that was not requested")
+        except httptools.HttpParserError as error:
+            self._handle_parse_error(str(error))
         if self._transfer is not None:
             self._check_overhead()
 
@@ -197,16 +199,20 @@
                 codes.SHORT_ANSWER if self._response else codes.BACKEND_FAILED
             )
 
-    # Callbacks of the parser.
+    # Callbacks of the parser. Bytes behind the end of the request belong to no
+    # request, and are ignored.
 
     def on_message_begin(self):
         """Start a response; one without a request is a protocol error."""
         if self._transfer is None:
             self.usable = False
+            return
         self._response = _Response()
 
     def on_header(self, name, value):
         """Collect a header."""
+        if self._transfer is None:
+            return
         self._response.headers.append(
             http.Header(
                 name.decode("latin-1").lower(), value.decode("latin-1").strip()
@@ -214,15 +220,22 @@
         )
 
     def on_headers_complete(self):
-        """Record the status and how long the connection may stay idle."""
+        """Check the head; record how long the connection may stay idle."""
+        transfer = self._transfer
+        if transfer is None:
+            return
         response = self._response
         response.status = self._parser.get_status_code()
         response.headers_complete = True
+        try:
+            response_head.check(response.status)
+        except exceptions.ResponseError as error:
+            self._reject_response(error)
+            return
         if not self._parser.should_keep_alive():
             self.usable = False
         self._record_idle_max(response.header("keep-alive"))
-        transfer = self._transfer
-        if transfer is not None and transfer.request.method == "HEAD":
+        if transfer.request.method == "HEAD":
             # The parser can't know that no body follows.
             self.usable = False
             self._complete()
@@ -340,11 +353,22 @@
             complete_response, codes.OK, notice, self.connected_at_ms
         )
 
-    def _handle_parse_error(self):
+    def _handle_parse_error(self, reason):
         if self._transfer is None:
             self.abort()
             return
-        self._fail(codes.SHORT_ANSWER)
+        self._reject_response(exceptions.ResponseError(reason))
+
+    def _reject_response(self, error):
+        """Fail the request, as its response is malformed."""
+        LOG.decision(
+            "answer_malformed",
+            address=self.address,
+            code=error.code.number,
+            request=self._transfer.request_id,
+            reason=error.detail,
+        )
+        self._fail(error.code)
 
     def _fail(self, code):
         self.usable = False
--- a/tests/transport/test_backend_client.py
+++ b/tests/transport/test_backend_client.py
@@ -9,55 +9,14 @@
 from fescueyard.core import codes
 from fescueyard.core import http
 from fescueyard.transport import backend_client
+from tests.transport import raw_server
 
-RESPONSE = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-a: b\r\n\r\nhello"
-REQUEST = http.HttpRequest("POST", "/order", [], b"one fleece")
-
-
-class RawServer:
-    """Responds with given raw bytes; counts complete requests."""
-
-    def __init__(self, responses):
-        self.requests = 0
-        self.keep_open = False
-        self._responses = responses
-        self._server = None
-
-    async def start(self):
-        """Listen on a free port.
-
-        :returns: base URL.
-        """
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()
-        return f"http://{host}:{port}"
-
-    def stop(self):
-        """Stop listening."""
-        self._server.close()
-
-    async def _accept(self, reader, writer):
-        try:
-            while True:
-                head = await reader.readuntil(b"\r\n\r\n")
-                if b"POST" in head:
-                    await reader.readexactly(len(REQUEST.body))
-                response = self._responses[
-                    min(self.requests, len(self._responses) - 1)
-                ]
-                self.requests += 1
-                if response is None:
-                    break
-                writer.write(response)
-                if response != RESPONSE and not self.keep_open:
-                    break
-        except (asyncio.IncompleteReadError, ConnectionError):
-            pass
-        writer.close()
+REQUEST = raw_server.REQUEST
+RESPONSE = raw_server.RESPONSE
 
 
 async def _fetch(responses, request=REQUEST, idempotent=False, count=1):
-    server = RawServer(responses)
+    server = raw_server.RawServer(responses)
     url = await server.start()
     client = backend_client.BackendClient(10, 1_000)
     result = None
@@ -105,7 +64,7 @@
 
 def test_connections_being_opened_count_against_the_limit():
     async def run():
-        server = RawServer([RESPONSE])
+        server = raw_server.RawServer([RESPONSE])
         url = await server.start()
         client = backend_client.BackendClient(3, 1_000)
         futures = [client.fetch(url, REQUEST, False) for _ in range(8)]
@@ -144,7 +103,7 @@
 
 async def _fetch_in_sequence(responses, count, requires_echo=True):
     """Send requests one after the other to a server with raw responses."""
-    server = RawServer(responses)
+    server = raw_server.RawServer(responses)
     server.keep_open = True
     url = await server.start()
     client = backend_client.BackendClient(
--- /dev/null
+++ b/tests/transport/test_broken_responses.py
@@ -0,0 +1,55 @@
+"""Responses of a faulty backend server that are no responses of HTTP/1.1."""
+
+import asyncio
+
+import pytest
+
+from fescueyard.core import codes
+from fescueyard.core import http
+from fescueyard.transport import backend_client
+from tests.transport import raw_server
+
+RESPONSE_BYTES_MAX = 1_000
+TIMEOUT_S = 5
+REQUEST = http.HttpRequest(
+    "POST", "/order", [http.Header("x-request-id", "id-0")], b"one fleece"
+)
+
+
+async def _fetch(response, piece_bytes):
+    server = raw_server.RawServer([response])
+    # The rejection must not depend on the end of the connection.
+    server.keep_open = True
+    server.piece_bytes = piece_bytes
+    url = await server.start()
+    client = backend_client.BackendClient(10, RESPONSE_BYTES_MAX)
+    done = asyncio.get_running_loop().create_future()
+    client.fetch(url, REQUEST, False).add_done_callback(
+        lambda future: done.set_result(future.result())
+    )
+    result = await asyncio.wait_for(done, TIMEOUT_S)
+    server.stop()
+    return result
+
+
+def _assert_rejected(response, piece_bytes=None):
+    """Assert that bytes are rejected, and not as those of a denied run."""
+    result = asyncio.run(_fetch(response, piece_bytes))
+    assert result.response is None
+    assert result.code is codes.SHORT_ANSWER
+    assert result.code.outcome is codes.Outcome.MAY_HAVE_RUN
+
+
+# The parser accepts any three digits, so callers got such a status.
+@pytest.mark.parametrize("piece_bytes", [None, 1])
+@pytest.mark.parametrize(
+    "headers", [b"", b"x-request-id: id-0\r\n", b"fescueyard-not-run: 1\r\n"]
+)
+@pytest.mark.parametrize(
+    "status", [b"000", b"001", b"099", b"600", b"999", b"0", b"20", b"2000"]
+)
+def test_response_with_an_invalid_status_is_rejected(
+    status, headers, piece_bytes
+):
+    head = b"HTTP/1.1 %s Odd\r\ncontent-length: 5\r\n" % status
+    _assert_rejected(head + headers + b"\r\nhello", piece_bytes)
