Reject responses of other versions and protocols

What callers saw: status lines of HTTP/0.9, HTTP/2.0, RTSP/1.0 and ICE/1.0 were passed on as answers of HTTP/1.1. Found here while checking what else stands in a status line beside the status; no report names it.

Cause: the parser reads the status lines of these versions and protocols like those of HTTP/1.1, and the client of the backend server checked neither. The parser tells the version, but not the protocol.

Why it works: the head is checked for its version, and the bytes where a response is due must begin as HTTP does. One case remains open: another protocol's status line directly behind an interim response in the same read, as the parser doesn't say where a response begins.

--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -168,6 +168,9 @@
             self._transport.abort()
             return
         self._overhead_bytes += len(data)
+        if self._response is None and not response_head.may_begin(data):
+            self._handle_parse_error("not a response of HTTP")
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -228,7 +231,9 @@
         response.status = self._parser.get_status_code()
         response.headers_complete = True
         try:
-            response_head.check(response.status)
+            response_head.check(
+                self._parser.get_http_version(), response.status
+            )
         except exceptions.ResponseError as error:
             self._reject_response(error)
             return
--- a/fescueyard/transport/response_head.py
+++ b/fescueyard/transport/response_head.py
@@ -8,11 +8,30 @@
 from fescueyard.core import http
 
 
-def check(status):
+_VERSIONS = ("1.0", "1.1")
+
+
+def may_begin(data):
+    """Return whether a response of HTTP may begin with some bytes.
+
+    The parser accepts status lines of other protocols, and does not tell the
+    protocol.
+
+    :param data: the bytes that arrived where a response is due.
+    :returns: bool.
+    """
+    start = data.lstrip(b"\r\n")[:1]
+    return start in (b"", b"H")
+
+
+def check(version, status):
     """Check the head of a response.
 
+    :param version: version of HTTP in its status line.
     :param status: its status.
     :raises ResponseError: when the head is malformed.
     """
+    if version not in _VERSIONS:
+        raise exceptions.ResponseError(f"version {version} is not HTTP/1")
     if not http.is_valid_status(status):
         raise exceptions.ResponseError(f"status {status:03} is not of HTTP")
--- a/tests/transport/test_broken_responses.py
+++ b/tests/transport/test_broken_responses.py
@@ -77,3 +77,29 @@
     for octet in (*range(0x21), 0x7F):
         for response in _responses_with_bad_name(name, octet):
             _assert_rejected(response, piece_bytes)
+
+
+# The parser reads other versions and protocols as if they were HTTP/1.1.
+@pytest.mark.parametrize("piece_bytes", [None, 1])
+@pytest.mark.parametrize("before", [b"", b"HTTP/1.1 100 Continue\r\n\r\n"])
+@pytest.mark.parametrize("version", [b"HTTP/0.9", b"HTTP/2.0"])
+def test_response_of_another_version_is_rejected(version, before, piece_bytes):
+    response = b"%s 200 OK\r\nx-request-id: id-0\r\ncontent-length: 5\r\n\r\n"
+    _assert_rejected(before + response % version + b"hello", piece_bytes)
+
+
+@pytest.mark.parametrize("piece_bytes", [None, 1])
+@pytest.mark.parametrize("before", [b"", b"\r\n"])
+@pytest.mark.parametrize("version", [b"RTSP/1.0", b"ICE/1.0"])
+def test_response_of_another_protocol_is_rejected(
+    version, before, piece_bytes
+):
+    response = b"%s 200 OK\r\nx-request-id: id-0\r\ncontent-length: 5\r\n\r\n"
+    _assert_rejected(before + response % version + b"hello", piece_bytes)
+
+
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+def test_response_of_either_minor_version_is_accepted(version):
+    response = b"%s 200 OK\r\nx-request-id: id-0\r\ncontent-length: 5\r\n\r\n"
+    result = asyncio.run(_fetch(response % version + b"hello", None))
+    assert result.response.body == b"hello"
