Bound the memory that heads of responses take

What could happen to callers: a faulty server that sends a head without end, or just below its limit, on each of its connections makes the node beside it outgrow its memory, and the requests of all other callers there end with it. Bytes without end were already cut off at 64 KiB beside the body, and bodies counted in the memory account, but not heads.

Why it works: a response may have as many fields as a request (1,000), checked as they are parsed, so that one read can't exceed it; and an unfinished head is charged to the memory account like a body, which pauses reading without room and always reads the oldest response on.

--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -1,8 +1,8 @@
 """One connection to the VM's own backend server, and its responses.
 
 A backend server may send bytes that are not a response, and may never stop.
-Bytes outside the response body are limited as well as the body itself; the
-connection is closed when either limit is exceeded.
+Header fields and bytes outside the response body are limited as well as the
+body itself; the connection is closed when a limit is exceeded.
 """
 
 import asyncio
@@ -18,6 +18,8 @@
 from fescueyard.core import logs
 from fescueyard.core import notices
 from fescueyard.core import text as text_checks
+from fescueyard.transport import http_parsing
+from fescueyard.transport import memory_account
 from fescueyard.transport import response_head
 from fescueyard.transport import sockets
 
@@ -115,6 +117,7 @@
         self._response = None
         self._too_large = False
         self._overhead_bytes = 0
+        self._head_cost = 0
         self._body_bytes = 0
         self._responses_skipped = 0
 
@@ -134,6 +137,7 @@
         transfer.connection = self
         self._transfer = transfer
         self._overhead_bytes = 0
+        self._head_cost = 0
         self._body_bytes = 0
         self._responses_skipped = 0
         self._transport.write(transfer.head + transfer.request.body)
@@ -179,6 +183,8 @@
             self._handle_parse_error(str(error))
         if self._transfer is not None:
             self._check_overhead()
+        if self._transfer is not None:
+            self._charge_head()
 
     def eof_received(self):
         """Complete a response delimited by the close; fail any other one."""
@@ -216,6 +222,9 @@
         """Collect a header; trailers are ignored."""
         if self._transfer is None or self._response.headers_complete:
             return
+        if len(self._response.headers) >= http_parsing.HEADER_FIELDS_MAX:
+            self._abandon_response(codes.ANSWER_TOO_LARGE)
+            return
         self._response.headers.append(
             http.Header(
                 name.decode("latin-1").lower(), value.decode("latin-1").strip()
@@ -301,6 +310,19 @@
         if self._overhead_bytes > OVERHEAD_BYTES_MAX + allowed_bytes:
             self._abandon_response(codes.ANSWER_TOO_LARGE)
 
+    def _charge_head(self):
+        """Count the memory that an unfinished head takes."""
+        response = self._response
+        if response is None or response.headers_complete:
+            return
+        cost = (
+            memory_account.HEAD_BYTE_COST * self._overhead_bytes
+            + memory_account.FIELD_COST * len(response.headers)
+        )
+        if cost > self._head_cost:
+            self._client.flow.charge(self, cost - self._head_cost)
+            self._head_cost = cost
+
     def _abandon_response(self, code):
         LOG.info(
             "answer_broken_off",
--- a/fescueyard/transport/response_flow.py
+++ b/fescueyard/transport/response_flow.py
@@ -28,15 +28,22 @@
         self._timer = None
 
     def hold(self, connection, count):
-        """Count bytes that have arrived; pause reading without room.
+        """Count bytes of a body that have arrived; pause without room.
 
         :param connection: connection with ``pause_reading()`` and
             ``resume_reading()``.
         :param count: number of bytes.
         """
+        self.charge(connection, memory_account.body_cost(count))
+
+    def charge(self, connection, amount):
+        """Count what a part of a response costs; pause without room.
+
+        :param connection: connection, as of :meth:`hold`.
+        :param amount: cost in bytes.
+        """
         if self._memory is None:
             return
-        amount = memory_account.body_cost(count)
         self._memory.charge(amount)
         self._held[connection] = self._held.get(connection, 0) + amount
         if not self._may_read(connection) and connection not in self._paused:
