Read refusals and statuses strictly in the operators' commands

What operators saw: a response with status 600 or 999 was reported as a refused, invalid change (3001, not run), whatever its body said; a refusal that is no problem document, or has a code that this version doesn't know, ended the command with a traceback; and "dump" printed the body of a failed request as the dump. Found while checking the other places that read answers. Status 000 was sound here: libcurl refuses it.

Cause: the client of the administration API only compared the status with 300, and used the decoded document without a check.

Why it works: a status outside HTTP's range is no response, as at the nodes; only 2xx is a success; the document of a refusal passes a model, and one that can't be read says nothing of the outcome, so that the command tries the next address as after any other broken response.

--- a/fescueyard/management/client.py
+++ b/fescueyard/management/client.py
@@ -5,6 +5,7 @@
 import time
 
 import pycurl
+import pydantic
 
 from fescueyard.conf import settings as conf_settings
 from fescueyard.control import admin
@@ -17,6 +18,16 @@
 # An attempt with less time left can't succeed.
 ATTEMPT_MIN_MS = 10
 RETRY_DELAY_MS = 200
+_SUCCESS_STATUS_MIN = 200
+_SUCCESS_STATUS_MAX = 299
+
+
+class _Problem(pydantic.BaseModel):
+    """Problem details document of a refusal."""
+
+    code: int = codes.BAD_CHANGE.number
+    detail: str = ""
+    version: int = 0
 
 
 class Unreachable(exceptions.FescueyardError):
@@ -28,15 +39,14 @@
 class Refused(exceptions.FescueyardError):
     """The administration API refused a request.
 
-    :param problem_details: the decoded problem details document.
+    :param detail: one sentence that describes the refusal.
+    :param code: the :class:`~fescueyard.core.codes.ResultCode`.
+    :param version: current version of the object; 0 when not known.
     """
 
-    def __init__(self, problem_details):
-        code = codes.by_number(
-            problem_details.get("code", codes.BAD_CHANGE.number)
-        )
-        super().__init__(problem_details.get("detail", ""), code)
-        self.version = problem_details.get("version", 0)
+    def __init__(self, detail, code, version):
+        super().__init__(detail, code)
+        self.version = version
 
 
 def fetch(method, url, headers, body, timeout_ms):
@@ -71,6 +81,8 @@
         raise Unreachable(f"{url}: {error.args[1]}") from None
     finally:
         curl.close()
+    if not http.is_valid_status(status):
+        raise Unreachable(f"{url}: status {status} is not of HTTP")
     return http.HttpResponse(status, [], received.getvalue())
 
 
@@ -151,18 +163,35 @@
     return time.monotonic() * 1000
 
 
+def is_success(response):
+    """Return whether a request succeeded.
+
+    :param response: :class:`~fescueyard.core.http.HttpResponse`.
+    :returns: bool.
+    """
+    return _SUCCESS_STATUS_MIN <= response.status <= _SUCCESS_STATUS_MAX
+
+
 def parse_response(response):
     """Parse a JSON response.
 
     :param response: :class:`~fescueyard.core.http.HttpResponse`.
     :returns: the decoded JSON.
     :raises Refused: when the request was refused.
-    :raises Unreachable: when the response is not JSON.
+    :raises Unreachable: when the response can't be read.
     """
+    if not is_success(response):
+        raise _parse_refusal(response.body)
     try:
-        value = json.loads(response.body)
-    except ValueError:
+        return json.loads(response.body)
+    except (ValueError, RecursionError):
         raise Unreachable("the response is not JSON") from None
-    if response.status >= 300:
-        raise Refused(value)
-    return value
+
+
+def _parse_refusal(body):
+    try:
+        problem = _Problem.model_validate_json(body)
+        code = codes.by_number(problem.code)
+    except (ValueError, KeyError):
+        return Unreachable("the refusal can't be read")
+    return Refused(problem.detail, code, problem.version)
--- a/fescueyard/management/commands/dump.py
+++ b/fescueyard/management/commands/dump.py
@@ -30,6 +30,10 @@
         response = client.fetch(
             "GET", f"http://{backend_address}/-/dump", [], b"", 5_000
         )
+        if not client.is_success(response):
+            raise client.Unreachable(
+                f"{backend_address}: status {response.status}"
+            )
         print(response.body.decode())
         return
     values = settings.load(settings.OperatorSettings, flags, os.environ)
