Bound the response that an operator's command keeps

What operators would see: a command whose server sends a body without end kept all that came within its timeout of 4 s and took the memory of the VM with it.

Cause: libcurl limits heads, but the client collected the body without a limit.

Why it works: the write function of libcurl takes at most 64 MiB, and a piece that it does not take ends the transfer. No response of the administration API or of a node is as large: documents have at most 16 MiB.

--- a/fescueyard/management/client.py
+++ b/fescueyard/management/client.py
@@ -18,6 +18,8 @@
 # An attempt with less time left can't succeed.
 ATTEMPT_MIN_MS = 10
 RETRY_DELAY_MS = 200
+# Dumps are the largest responses.
+RESPONSE_BYTES_MAX = 64 * 1024 * 1024
 _SUCCESS_STATUS_MIN = 200
 _SUCCESS_STATUS_MAX = 299
 
@@ -49,6 +51,30 @@
         self.version = version
 
 
+class _LimitedBody:
+    """Collects a response body up to :data:`RESPONSE_BYTES_MAX`."""
+
+    def __init__(self):
+        self._buffer = io.BytesIO()
+
+    def write(self, data):
+        """Collect a piece, as a write function of libcurl.
+
+        :param data: bytes of the body.
+        :returns: number of bytes taken; fewer end the transfer.
+        """
+        if self._buffer.tell() + len(data) > RESPONSE_BYTES_MAX:
+            return 0
+        return self._buffer.write(data)
+
+    def value(self):
+        """Return the body.
+
+        :returns: bytes.
+        """
+        return self._buffer.getvalue()
+
+
 def fetch(method, url, headers, body, timeout_ms):
     """Send one HTTP request and wait for the response.
 
@@ -58,10 +84,11 @@
     :param body: body bytes.
     :param timeout_ms: time limit of the request, in ms.
     :returns: :class:`~fescueyard.core.http.HttpResponse` without headers.
-    :raises Unreachable: when no complete response is received.
+    :raises Unreachable: when no complete response is received, or a larger
+        one than :data:`RESPONSE_BYTES_MAX`.
     """
     curl = pycurl.Curl()
-    received = io.BytesIO()
+    received = _LimitedBody()
     curl.setopt(pycurl.URL, url)
     curl.setopt(pycurl.PROXY, "")
     curl.setopt(pycurl.NOSIGNAL, 1)
@@ -73,7 +100,7 @@
         pycurl.HTTPHEADER,
         [f"{header.name}: {header.value}" for header in headers],
     )
-    curl.setopt(pycurl.WRITEDATA, received)
+    curl.setopt(pycurl.WRITEFUNCTION, received.write)
     try:
         curl.perform()
         status = curl.getinfo(pycurl.RESPONSE_CODE)
@@ -83,7 +110,7 @@
         curl.close()
     if not http.is_valid_status(status):
         raise Unreachable(f"{url}: status {status} is not of HTTP")
-    return http.HttpResponse(status, [], received.getvalue())
+    return http.HttpResponse(status, [], received.value())
 
 
 class AdminClient:
--- a/tests/management/test_client.py
+++ b/tests/management/test_client.py
@@ -110,3 +110,36 @@
         with pytest.raises(client.Unreachable):
             dump.run(backend_address=server.address())
     assert capsys.readouterr().out == ""
+
+
+OK_HEAD = b"HTTP/1.1 200 OK\r\n"
+ENDLESS_RESPONSES = {
+    "body": (OK_HEAD + b"\r\n", b"b" * 65_536),
+    "body in chunks": (
+        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n",
+        b"10000\r\n" + b"c" * 65_536 + b"\r\n",
+    ),
+    "headers": (OK_HEAD, b"x-more: 1\r\n" * 1_000),
+    "header": (OK_HEAD + b"x-long: ", b"y" * 65_536),
+    "status line": (b"HTTP/1.1 200 ", b"O" * 65_536),
+    "interim responses": (b"", b"HTTP/1.1 100 Continue\r\n\r\n" * 1_000),
+    "trailers": (
+        OK_HEAD + b"transfer-encoding: chunked\r\n\r\n0\r\n",
+        b"x-trailer: 1\r\n" * 1_000,
+    ),
+    "not a response": (b"", b"\x00\x01\x02\x03" * 16_384),
+}
+# Short, as a client without a limit keeps what comes within its timeout.
+ENDLESS_TIMEOUT_MS = 1_000
+# Bytes that the buffers of both sockets may hold besides what the client read.
+SOCKET_BYTES_MAX = 16 * 1024 * 1024
+
+
+# What came within the timeout was kept, several hundred MB in a second.
+@pytest.mark.parametrize("kind", ENDLESS_RESPONSES)
+def test_endless_response_is_not_kept(kind):
+    with _serve(*ENDLESS_RESPONSES[kind]) as server:
+        url = f"http://{server.address()}/v1/status"
+        with pytest.raises(client.Unreachable):
+            client.fetch("GET", url, [], b"", ENDLESS_TIMEOUT_MS)
+    assert server.bytes_sent < client.RESPONSE_BYTES_MAX + SOCKET_BYTES_MAX
