Test a node whose server sends without end

A connection without a request was sound before: the client closes it at the first byte. The example backend server can send bytes without end now.

--- a/demo/backend.py
+++ b/demo/backend.py
@@ -4,9 +4,11 @@
 returns the body and headers of the request; ``/crash`` ends the process;
 ``/short`` truncates its response; ``/drop`` closes the connection without a
 response; ``/raw`` sends the bytes of its query's ``response``, with the id of
-the request in place of ``{id}``, and closes the connection. Any other path,
-such as ``/work?ms=5``, responds after ``ms`` milliseconds with the ``status``
-and ``body`` of its query, the body repeated ``times`` times. Each request is
+the request in place of ``{id}``, and closes the connection; ``/endless``
+sends those of ``first``, then those of ``repeated`` without end, or
+``repeats`` times and then nothing more. Any other path, such as
+``/work?ms=5``, responds after ``ms`` milliseconds with the ``status`` and
+``body`` of its query, the body repeated ``times`` times. Each request is
 appended to the run log as one line of JSON before anything else is done.
 """
 
@@ -27,6 +29,7 @@
 ANNOUNCEMENT_TTL_MS = 2_000
 REQUEST_ID_HEADER = "x-request-id"
 BODY_BYTES_MAX = 64 * 1024 * 1024
+UNSENT_BYTES_MAX = 256 * 1024
 
 
 class Backend:
@@ -46,6 +49,7 @@
         self._run_log = open(options["run_log"], "a", buffering=1)
         self._connections = {}
         self._request_ids = {}
+        self._tasks = set()
         self._draining = False
 
     async def start(self):
@@ -72,11 +76,20 @@
             connection._transport.write(head)
             connection._transport.close()
         elif split.path == "/raw":
-            response = query["response"].replace(
-                "{id}", request.header(REQUEST_ID_HEADER) or ""
-            )
-            connection._transport.write(response.encode("latin-1"))
+            response = _raw_bytes(query["response"], request)
+            connection._transport.write(response)
             connection._transport.close()
+        elif split.path == "/endless":
+            task = asyncio.get_running_loop().create_task(
+                _send_without_end(
+                    connection._transport,
+                    _raw_bytes(query["first"], request),
+                    _raw_bytes(query["repeated"], request),
+                    float(query.get("repeats", "inf")),
+                )
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
         elif split.path == "/echo":
             headers = {header.name: header.value for header in request.headers}
             echo = {"headers": headers, "body": request.body.decode()}
@@ -175,6 +188,22 @@
         self._client.fetch(f"http://{self._options['node']}", request, True)
 
 
+def _raw_bytes(text, request):
+    """Encode the text of a response, with the id of its request."""
+    request_id = request.header(REQUEST_ID_HEADER) or ""
+    return text.replace("{id}", request_id).encode("latin-1")
+
+
+async def _send_without_end(transport, first, repeated, repeats):
+    """Send until the other side closes, as fast as it reads."""
+    transport.write(first)
+    while not transport.is_closing() and repeats > 0:
+        if transport.get_write_buffer_size() < UNSENT_BYTES_MAX:
+            transport.write(repeated)
+            repeats -= 1
+        await asyncio.sleep(0)
+
+
 def main():
     """Run a backend server; options are ``name=value`` arguments."""
     options = dict(item.split("=", 1) for item in sys.argv[1:])
--- a/tests/transport/test_endless_responses.py
+++ b/tests/transport/test_endless_responses.py
@@ -77,6 +77,22 @@
     assert bytes_written < raw_server.SOCKET_BYTES_MAX
 
 
+def test_idle_connection_is_closed_on_endless_bytes():
+    async def run():
+        server = raw_server.EndlessServer(
+            b"", OTHER_RESPONSE + b"late", request_end=b""
+        )
+        listener = await asyncio.start_server(server.accept, "127.0.0.1", 0)
+        host, port = listener.sockets[0].getsockname()
+        client = backend_client.BackendClient(10, RESPONSE_BYTES_MAX)
+        await client.probe(f"http://{host}:{port}")
+        await asyncio.wait_for(server.closed.wait(), TIMEOUT_S)
+        listener.close()
+        return server.bytes_written
+
+    assert asyncio.run(run()) < raw_server.SOCKET_BYTES_MAX
+
+
 HEADS = 20
 # A head just below the limit of bytes, in the shortest fields.
 SHORT_FIELDS = b"a:\r\n" * 15_000
