--- a/fescueyard/transport/response_head.py
+++ b/fescueyard/transport/response_head.py
@@ -7,7 +7,6 @@
 from fescueyard.core import exceptions
 from fescueyard.core import http
 
-
 _VERSIONS = ("1.0", "1.1")
 
 
