Move requests, responses and results out of the backend connection

The data classes of a request, its response and its result, which the client and the executor use as well, now stand in transport/transfers.py. Behaviour is the same: tests of transport and node pass.

--- a/fescueyard/node/execution.py
+++ b/fescueyard/node/execution.py
@@ -12,7 +12,7 @@
 from fescueyard.core import failures
 from fescueyard.core import http
 from fescueyard.core import logs
-from fescueyard.transport import backend_connection
+from fescueyard.transport import transfers
 
 LOG = logs.ComponentLogger("node")
 
@@ -25,7 +25,7 @@
         :class:`~fescueyard.transport.datagrams.DatagramSocket`.
     :param client: :class:`~fescueyard.transport.backend_client.BackendClient`.
     :param run_completed: function of the run id and its
-        :class:`~fescueyard.transport.backend_connection.BackendResult`.
+        :class:`~fescueyard.transport.transfers.BackendResult`.
     :param probe_completed: function of a completed probe's task.
     :param health_completed: function of the number that came with a health
         request and of its result.
@@ -170,5 +170,5 @@
 @_handle_failure.register
 def _handle_failed_run(effect: effects.StartRun, executor):
     # How much of the request was written is not known.
-    result = backend_connection.BackendResult(None, codes.BACKEND_FAILED)
+    result = transfers.BackendResult(None, codes.BACKEND_FAILED)
     executor.run_completed(effect.run_id, result)
--- a/fescueyard/transport/backend_client.py
+++ b/fescueyard/transport/backend_client.py
@@ -15,6 +15,7 @@
 from fescueyard.core import logs
 from fescueyard.transport import backend_connection
 from fescueyard.transport import response_flow
+from fescueyard.transport import transfers
 
 LOG = logs.ComponentLogger("backend")
 
@@ -70,11 +71,11 @@
         :param request: :class:`~fescueyard.core.http.HttpRequest`.
         :param idempotent: whether the request may safely run twice.
         :returns: future of a
-            :class:`~fescueyard.transport.backend_connection.BackendResult`;
+            :class:`~fescueyard.transport.transfers.BackendResult`;
             cancel it with :meth:`cancel`.
         """
         address = base_url.removeprefix("http://")
-        transfer = backend_connection.Transfer(
+        transfer = transfers.Transfer(
             request,
             _serialise_head(request, address),
             request.header(self.names.request_id) or "",
@@ -198,7 +199,7 @@
         """Fail a request of which no byte was written."""
         if not transfer.cancelled:
             transfer.future.set_result(
-                backend_connection.BackendResult(None, codes.CONNECT_FAILED)
+                transfers.BackendResult(None, codes.CONNECT_FAILED)
             )
 
 
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -6,8 +6,6 @@
 """
 
 import asyncio
-import concurrent.futures
-import dataclasses
 
 import httptools
 
@@ -22,6 +20,7 @@
 from fescueyard.transport import memory_account
 from fescueyard.transport import response_head
 from fescueyard.transport import sockets
+from fescueyard.transport import transfers
 
 LOG = logs.ComponentLogger("backend")
 
@@ -41,71 +40,6 @@
 # Limit on interim responses and responses to other requests before the
 # expected one.
 RESPONSES_SKIPPED_MAX = 16
-_BODYLESS_STATUSES = (204, 304)
-
-
-@dataclasses.dataclass
-class BackendResult:
-    """Result of a run at the backend server.
-
-    :param response: the complete response, or None.
-    :param code: result code; ``OK`` with a response.
-    :param notice: what the backend server says of itself in the response, or
-        in its refusal; None without either.
-    :param connected_at_ms: time at which the connection of the response was
-        opened, in ms of the process's clock; None without a response.
-    """
-
-    response: http.HttpResponse | None
-    code: codes.ResultCode
-    notice: notices.ServerNotice | None = None
-    connected_at_ms: float | None = None
-
-
-@dataclasses.dataclass
-class Transfer:
-    """One request in progress.
-
-    :param request_id: id that the response echoes; empty for none.
-    :param expects_instance: whether the request names an instance id, so that
-        the backend server may respond that it is another instance.
-    """
-
-    request: http.HttpRequest
-    head: bytes
-    request_id: str
-    expects_instance: bool
-    future: concurrent.futures.Future | None
-    connection: object = None
-    cancelled: bool = False
-
-
-@dataclasses.dataclass(slots=True)
-class _Completion:
-    """A request that has ended, and the result that is still to be set."""
-
-    transfer: Transfer
-    result: BackendResult
-
-
-class _Response:
-    """A response being parsed."""
-
-    def __init__(self):
-        self.status = 0
-        self.headers = []
-        self.body = bytearray()
-        self.headers_complete = False
-
-    def header(self, name):
-        return http.find_header(self.headers, name)
-
-    def is_delimited_by_close(self):
-        """Return whether the response ends when the connection closes."""
-        if not self.headers_complete or self.status in _BODYLESS_STATUSES:
-            return False
-        length = self.header("content-length")
-        return length is None and self.header("transfer-encoding") is None
 
 
 class Connection(asyncio.Protocol):
@@ -239,7 +173,7 @@
         if self._transfer is None:
             self.usable = False
             return
-        self._response = _Response()
+        self._response = transfers.Response()
 
     def on_header(self, name, value):
         """Collect a header; trailers are ignored."""
@@ -392,16 +326,16 @@
     def _classify(self, response, transfer):
         notice = notices.parse(response.headers, self._client.names)
         if response.header(self._client.names.not_run) is not None:
-            return BackendResult(
+            return transfers.BackendResult(
                 None, codes.BACKEND_REFUSED, notice, self.connected_at_ms
             )
         if response.status == WRONG_INSTANCE_STATUS:
             if transfer.expects_instance:
-                return BackendResult(None, codes.WRONG_INSTANCE)
+                return transfers.BackendResult(None, codes.WRONG_INSTANCE)
         complete_response = http.HttpResponse(
             response.status, response.headers, bytes(response.body)
         )
-        return BackendResult(
+        return transfers.BackendResult(
             complete_response, codes.OK, notice, self.connected_at_ms
         )
 
@@ -424,11 +358,11 @@
 
     def _fail(self, code):
         self.usable = False
-        self._finish(BackendResult(None, code))
+        self._finish(transfers.BackendResult(None, code))
 
     def _finish(self, result):
         """End the request; its result is set once no bytes are parsed."""
-        self._completion = _Completion(self._transfer, result)
+        self._completion = transfers.Completion(self._transfer, result)
         self._transfer = None
         self._response = None
         self._client.flow.release(self)
