--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -30,7 +30,6 @@
 INTERNAL_PORT = 7000
 HEARTBEAT_MS = 1500
 RESTART_DELAY_S = 0.5
-LAST_PIECE_BYTES = 1024
 BOUNDS = {
     "SeedLagS": 3,
     "ReuseAfterS": 2,
@@ -391,12 +390,9 @@
     headers=None,
     body=b"",
     timeout_s=3.0,
-    before_end=None,
 ):
     """Send a request on a new connection.
 
-    :param before_end: coroutine function that is awaited before the last
-        piece of the body is sent.
     :returns: status, headers and body.
     """
     async with asyncio.timeout(timeout_s):
@@ -409,11 +405,6 @@
                 fields["Content-Length"] = str(len(body))
             lines += [f"{name}: {value}" for name, value in fields.items()]
             head = ("\r\n".join(lines) + "\r\n\r\n").encode()
-            if before_end is not None:
-                writer.write(head + body[:-LAST_PIECE_BYTES])
-                await writer.drain()
-                await before_end()
-                head, body = b"", body[-LAST_PIECE_BYTES:]
             writer.write(head + body)
             await writer.drain()
             first, answer_headers = await read_head(reader)
@@ -512,44 +503,56 @@
         )
         self._tasks.append(asyncio.create_task(self._beat()))
 
+    def ping_body(self):
+        """Return the body of a ping."""
+        return {
+            "Address": self.machine.address(APP_PORT),
+            "Info": {
+                "Service": self.machine.service,
+                "Version": "v1",
+                "Zone": self.machine.zone,
+                "Slots": self.slots,
+            },
+            "Status": {
+                "State": self.state,
+                "Sequence": self.sequence,
+                "ColdLeftMs": 0,
+            },
+            "born": self.born_ms,
+        }
+
     async def _beat(self):
         while True:
             self.sequence += 1
-            body = {
-                "Address": self.machine.address(APP_PORT),
-                "Info": {
-                    "Service": self.machine.service,
-                    "Version": "v1",
-                    "Zone": self.machine.zone,
-                    "Slots": self.slots,
-                },
-                "Status": {
-                    "State": self.state,
-                    "Sequence": self.sequence,
-                    "ColdLeftMs": 0,
-                },
-                "born": self.born_ms,
-            }
             try:
                 await request(
                     self.machine.address(CONTROL_PORT),
                     "PUT",
                     f"/v1/instances/{self.instance}",
                     {"Content-Type": "application/json"},
-                    json.dumps(body).encode(),
+                    json.dumps(self.ping_body()).encode(),
                     timeout_s=1.0,
                 )
                 await asyncio.sleep(HEARTBEAT_MS / 1000)
-            except (OSError, asyncio.TimeoutError, EOFError):
+            except (OSError, EOFError):
                 await asyncio.sleep(0.3)
 
+    def stop_pings(self):
+        """Send no further pings."""
+        for task in self._tasks:
+            task.cancel()
+
+    def health_status(self):
+        """Return the status of the health path."""
+        return 200
+
     async def _serve(self, reader, writer):
         try:
             while True:
                 first, headers = await read_head(reader)
                 method, path, _ = first.split(" ")
                 if path == "/healthz":
-                    self._write(writer, 200, {}, b"ok")
+                    self._write(writer, self.health_status(), {}, b"ok")
                     continue
                 expected = headers.get("x-expect-instance", self.instance)
                 await self.handle(
@@ -582,6 +585,10 @@
         if size != 1 and self.answer_bytes:
             answer = bytes(self.answer_bytes)
         self.record(f"answer by {self.machine.name} of {attempt}")
+        self.write_answer(writer, attempt, answer)
+
+    def write_answer(self, writer, attempt, answer):
+        """Answer a request with success."""
         self._write(writer, 200, {"X-Attempt-Id": attempt}, answer)
 
     def _write(self, writer, status, headers, body):
@@ -602,13 +609,11 @@
 class MemoryLimit(threading.Thread):
     """Kills processes that use more than ``MemoryMb``, as the platform does.
 
-    :ivar kills: number of kills, by name of the machine.
     :ivar peaks_mb: largest resident memory seen, by name of the machine.
     """
 
     def __init__(self, installation):
         super().__init__(daemon=True)
-        self.kills = {}
         self.peaks_mb = {}
         self._installation = installation
         self._stopped = False
@@ -627,7 +632,6 @@
                 if used_mb > machine.limits["MemoryMb"]:
                     process.kill()
                     killed.add(process.pid)
-                    self.kills[name] = self.kills.get(name, 0) + 1
                     self._installation.record(
                         f"killed {name}: {used_mb:.0f} MB of memory"
                     )
@@ -646,3 +650,40 @@
     except (OSError, IndexError):
         return 0.0
     return pages * os.sysconf("SC_PAGE_SIZE") / (1024 * 1024)
+
+
+def run(play, services, folder, timeout_s=100.0):
+    """Run a case on an installation, and end what was started.
+
+    :param play: coroutine function of the record and the installation that
+        returns the exit status: 1 if the rule was broken, 0 if it held, 2 if
+        the case couldn't run.
+    :param services: for each sidecar, its service.
+    :param folder: folder of the case.
+    :param timeout_s: time after which the case couldn't run.
+    :returns: the exit status.
+    """
+    try:
+        return asyncio.run(_run(play, services, folder, timeout_s))
+    except (OSError, EOFError) as error:
+        print(f"could not run: {error!r}")
+    except (asyncio.CancelledError, KeyboardInterrupt):
+        print("stopped")
+    return 2
+
+
+async def _run(play, services, folder, timeout_s):
+    record = Record(folder / "record.txt")
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(
+        signal.SIGTERM, lambda: task.cancel()
+    )
+    installation = Installation(record, services)
+    try:
+        installation.start()
+        watch = asyncio.create_task(installation.watch())
+        status = await asyncio.wait_for(play(record, installation), timeout_s)
+        watch.cancel()
+        return status
+    finally:
+        installation.stop()
