--- a/review/9/case.py
+++ b/review/9/case.py
@@ -76,23 +76,6 @@
     return 1 if len(over) >= 2 else 0
 
 
-async def main():
-    """Run the case."""
-    record = rig.Record(FOLDER / "record.txt")
-    installation = rig.Installation(record, ["desk"] * 4)
-    installation.start()
-    watch = asyncio.create_task(installation.watch())
-    try:
-        return await asyncio.wait_for(play(record, installation), 110)
-    finally:
-        watch.cancel()
-        installation.stop()
-
-
 if __name__ == "__main__":
-    try:
-        STATUS = asyncio.run(main())
-    except (OSError, EOFError, TimeoutError) as problem:
-        print(f"could not run: {problem!r}")
-        STATUS = 2
-    sys.exit(STATUS)
+    SERVICES = ["desk"] * 4
+    sys.exit(rig.run(play, SERVICES, FOLDER))
