--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,6 +1,6 @@
 """Bytes that are no response, behind an interim response.
 
-Of two servers one answers one request in twenty with an interim response and,
+Of two servers one answers one request in forty with an interim response and,
 in the same piece, bytes of another protocol. With TROUBLE=0 all answers are
 sound.
 """
@@ -17,8 +17,8 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "docs.example"
-REQUESTS_EACH = 200
-SPOILED_SHARE = 20  # one answer in so many
+REQUESTS_EACH = 300
+SPOILED_SHARE = 40  # one answer in so many
 DEADLINE_MS = 3_000
 
 
@@ -107,4 +107,4 @@
 
 if __name__ == "__main__":
     SERVICES = ["docs", "docs", "desk", "desk", "desk"]
-    sys.exit(rig.run(play, SERVICES, FOLDER))
+    sys.exit(rig.run(play, SERVICES, FOLDER / "record.txt"))
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -78,4 +78,4 @@
 
 if __name__ == "__main__":
     SERVICES = ["desk"] * 4
-    sys.exit(rig.run(play, SERVICES, FOLDER))
+    sys.exit(rig.run(play, SERVICES, FOLDER / "record.txt"))
--- a/review/common-2/rig.py
+++ b/review/common-2/rig.py
@@ -652,19 +652,19 @@
     return pages * os.sysconf("SC_PAGE_SIZE") / (1024 * 1024)
 
 
-def run(play, services, folder, timeout_s=100.0):
+def run(play, services, record_path, timeout_s=100.0):
     """Run a case on an installation, and end what was started.
 
     :param play: coroutine function of the record and the installation that
         returns the exit status: 1 if the rule was broken, 0 if it held, 2 if
         the case couldn't run.
     :param services: for each sidecar, its service.
-    :param folder: folder of the case.
+    :param record_path: file for what was sent, answered and run.
     :param timeout_s: time after which the case couldn't run.
     :returns: the exit status.
     """
     try:
-        return asyncio.run(_run(play, services, folder, timeout_s))
+        return asyncio.run(_run(play, services, record_path, timeout_s))
     except (OSError, EOFError) as error:
         print(f"could not run: {error!r}")
     except (asyncio.CancelledError, KeyboardInterrupt):
@@ -672,8 +672,8 @@
     return 2
 
 
-async def _run(play, services, folder, timeout_s):
-    record = Record(folder / "record.txt")
+async def _run(play, services, record_path, timeout_s):
+    record = Record(record_path)
     task = asyncio.current_task()
     asyncio.get_running_loop().add_signal_handler(
         signal.SIGTERM, lambda: task.cancel()
