Block signals until a process can handle them

SIGHUP 0.15 s after its start ended a process by the signal, each time: three ends on each of two machines, so that operators saw processes ending by themselves beside settings changes.

Cause: the handlers are installed in the event loop, behind the import of all modules, 0.39 to 0.54 s after the start; until then signals have their default action. The same held for SIGUSR1, for control processes, and again once the event loop had closed, which restores the default actions.

fescueyard/__main__.py blocks the signals before any other import, for commands that run until they are stopped; the process unblocks them behind the installation of its handlers, and blocks them before the event loop closes. What arrives in between stays pending. The binary and the installed script enter there as well.

--- a/build_binary.py
+++ b/build_binary.py
@@ -21,7 +21,7 @@
             "-m",
             "shiv.cli",
             "--entry-point",
-            "fescueyard.management.main:main",
+            "fescueyard.__main__:main",
             "--output-file",
             str(OUTPUT),
             "--python",
--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -11,6 +11,7 @@
 from fescueyard.core import exceptions
 from fescueyard.core import failures
 from fescueyard.core import logs
+from fescueyard.core import signals
 
 LOG = logs.ComponentLogger("process")
 
@@ -125,14 +126,25 @@
 async def _run(start, watched_path):
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_handle_uncaught)
-    signals = _SignalQueue(loop)
+    signal_queue = _SignalQueue(loop)
+    signals.unblock()
+    try:
+        await _serve(start, watched_path, signal_queue)
+    finally:
+        # Closing the event loop restores the default actions.
+        signals.block()
+
+
+async def _serve(start, watched_path, signal_queue):
+    """Start the process, and return when it has stopped."""
+    loop = asyncio.get_running_loop()
     process = await start()
     # Objects made at start-up live as long as the process; scanning them in
     # every collection would only delay calls.
     gc.collect()
     gc.freeze()
     gc.set_threshold(GC_THRESHOLD)
-    signals.attach(process)
+    signal_queue.attach(process)
     tasks = [_start_background(loop, _flush_logs())]
     if watched_path:
         tasks.append(
