Read the settings again once their file is watched

A settings file that changed while a process started, without a signal, was never read: the watch compared with the time of change at its own beginning, which came after the first reading.

The watch notes the time of change and then lets the process read the file once more. Unchanged settings have no effect.

test_settings_that_change_during_the_start_are_read_again failed before the change.

--- a/fescueyard/transport/process.py
+++ b/fescueyard/transport/process.py
@@ -162,8 +162,13 @@
 
 
 async def _watch_file(path, process):
-    """Reload the process when its settings file changes."""
+    """Reload the process when its settings file changes.
+
+    The process has read the file before, so the first reload is for a change
+    since then.
+    """
     last_modified_at_ns = _modified_at_ns(path)
+    _reload(process)
     while True:
         await asyncio.sleep(WATCH_INTERVAL_S)
         modified_at_ns = _modified_at_ns(path)
--- a/tests/transport/test_process.py
+++ b/tests/transport/test_process.py
@@ -86,3 +86,41 @@
     status, event = CASES[raised]
     assert ended.returncode == status, ended.stderr
     assert event in ended.stdout
+
+
+# Changes its settings file while it starts, without a signal.
+CHANGED_PROGRAM = """
+import asyncio, os, sys
+from fescueyard.transport import process
+
+path = sys.argv[1]
+
+
+class Process:
+    async def serve(self):
+        os.utime(path, (1, 1))
+        loop = asyncio.get_running_loop()
+        self.stopped = loop.create_future()
+        loop.call_later(2, self.stopped.set_result, None)
+        return self
+
+    def reload(self):
+        print("reloaded", flush=True)
+
+
+process.run(lambda: Process().serve(), path)
+"""
+
+
+# The settings were read before the watch of the file began, so that a change
+# between the two was never seen.
+def test_settings_that_change_during_the_start_are_read_again(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text("")
+    ended = subprocess.run(
+        [sys.executable, "-c", CHANGED_PROGRAM, str(path)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+    assert "reloaded" in ended.stdout, ended.stderr
