Reject invalid statuses in answers from other nodes

But the answer that another node forwards was passed on unchecked, and nodes of release 0.6 forward what their servers send, so that callers of newer nodes got status 000 during an upgrade.

Ingress now checks the status; an invalid or interim one becomes 2303, may have run, with a log line that names the node.

--- a/fescueyard/core/http.py
+++ b/fescueyard/core/http.py
@@ -77,3 +77,12 @@
     :returns: bool.
     """
     return STATUS_MIN <= status <= STATUS_MAX
+
+
+def is_final_status(status):
+    """Return whether a number is the status of a final response.
+
+    :param status: the number in a response.
+    :returns: bool.
+    """
+    return FINAL_STATUS_MIN <= status <= STATUS_MAX
--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -489,11 +489,24 @@
         quarantine.record_reported_crash(
             tables, call.fingerprint, forward_response.crash_id, now_ms
         )
+    code = codes.by_number(forward_response.code)
+    response = forward_response.response
+    if response is not None and not http.is_final_status(response.status):
+        # Nodes of release 0.6 and before do not check it.
+        LOG.decision(
+            "answer_malformed",
+            request=call.request_id,
+            attempt=forward_response.attempt_id,
+            node=node_id,
+            code=codes.SHORT_ANSWER.number,
+            reason=f"status {response.status}",
+        )
+        code, response = codes.SHORT_ANSWER, None
     _finish_attempt(
         tables,
         attempt,
-        codes.by_number(forward_response.code),
-        forward_response.response,
+        code,
+        response,
         forward_response.retry_after_ms,
         now_ms,
     )
--- a/tests/ingress/test_outcomes.py
+++ b/tests/ingress/test_outcomes.py
@@ -166,3 +166,19 @@
     assert members["code"] == codes.KEY_MISSING.number
     assert members["outcome"] == "not_run"
     assert call.header("content-type") == "application/problem+json"
+
+
+# Nodes of release 0.6 pass on any status that their backend servers send, and
+# callers of newer nodes got it as an answer.
+@pytest.mark.parametrize("status", [0, 99, 103, 600])
+@pytest.mark.parametrize("caller_node", range(2))
+def test_invalid_status_from_a_node_is_not_passed_on(caller_node, status):
+    world = setups.start_fleet(zones=("zone-a", "zone-b"))
+    names = list(world.nodes)
+    target = f"/orders/work?status={status}"
+    call = world.call(names[caller_node], target, KEY, method="POST")
+    world.run(500)
+    assert len(world.runs) == 1
+    assert call.response.status == 502
+    assert call.code == codes.SHORT_ANSWER.number
+    assert call.header("fescueyard-outcome") == "may_have_run"
