Reject successes that their backend server has not signed

HeaderNames.signature names the header in which servers sign; the platform's interface sets it. Failures and health responses need none.

All three cases of test_success_without_the_signature_is_rejected failed before the change.

--- a/fescueyard/core/headers.py
+++ b/fescueyard/core/headers.py
@@ -23,6 +23,8 @@
     :param server_leaving: set by a backend server that accepts no new work.
     :param cold_ms: remaining time, in ms, for which the backend server is
         cold, on its health responses.
+    :param signature: signature of the backend server on each response to a
+        request; empty where servers don't sign.
     """
 
     request_id: str = "x-request-id"
@@ -35,6 +37,7 @@
     server_limit: str = "server-limit"
     server_leaving: str = "server-leaving"
     cold_ms: str = "server-cold-ms"
+    signature: str = ""
 
     def reserved(self):
         """Return the names of headers that a caller may not set.
--- a/fescueyard/platform/interface.py
+++ b/fescueyard/platform/interface.py
@@ -17,6 +17,7 @@
     server_limit="server-limit",
     server_leaving="server-leaving",
     cold_ms="x-cold-ms",
+    signature="x-instance-stamp",
 )
 # Caller errors, which keep their HTTP status. Every other rejection of a
 # request that has not run gets a status that invites a retry.
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -278,6 +278,11 @@
             else:
                 self._count_skipped()
             return
+        if self._lacks_signature(response, transfer):
+            self._reject_response(
+                exceptions.ResponseError("success without a signature")
+            )
+            return
         if self._transport.get_write_buffer_size():
             # The backend server would parse the rest of the request body as
             # another request.
@@ -353,6 +358,15 @@
         self._client.echoing_addresses.add(self.address)
         return echoed_id == transfer.request_id
 
+    def _lacks_signature(self, response, transfer):
+        """Return whether a success is not the backend server's own."""
+        name = self._client.names.signature
+        return (
+            bool(name and transfer.request_id)
+            and response.status < _FAILURE_STATUS_MIN
+            and response.header(name) is None
+        )
+
     def _denies_run(self, response):
         """Return whether a response says that its request has not run."""
         return (
--- a/tests/transport/test_broken_responses.py
+++ b/tests/transport/test_broken_responses.py
@@ -5,6 +5,7 @@
 import pytest
 
 from fescueyard.core import codes
+from fescueyard.core import headers
 from fescueyard.core import http
 from fescueyard.transport import backend_client
 from fescueyard.transport import response_framing
@@ -17,13 +18,15 @@
 )
 
 
-async def _fetch(response, piece_bytes, request=REQUEST):
+async def _fetch(
+    response, piece_bytes, request=REQUEST, names=headers.HeaderNames()
+):
     server = raw_server.RawServer([response])
     # The rejection must not depend on the end of the connection.
     server.keep_open = True
     server.piece_bytes = piece_bytes
     url = await server.start()
-    client = backend_client.BackendClient(10, RESPONSE_BYTES_MAX)
+    client = backend_client.BackendClient(10, RESPONSE_BYTES_MAX, names)
     done = asyncio.get_running_loop().create_future()
     client.fetch(url, request, False).add_done_callback(
         lambda future: done.set_result(future.result())
@@ -302,6 +305,44 @@
     assert result.response.status == 200
 
 
+SIGNING_NAMES = headers.HeaderNames(signature="x-signature")
+
+
+# A success that its server had not signed reached callers.
+@pytest.mark.parametrize("status", [b"200 OK", b"204 None", b"299 Odd"])
+def test_success_without_the_signature_is_rejected(status):
+    response = (
+        b"HTTP/1.1 %s\r\nx-request-id: id-0\r\ncontent-length: 0\r\n\r\n"
+    )
+    fetching = _fetch(response % status, None, names=SIGNING_NAMES)
+    result = asyncio.run(fetching)
+    assert result.response is None
+    assert result.code is codes.SHORT_ANSWER
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"200 OK\r\nx-signature: s\r\nx-request-id: id-0",
+        b"404 Unknown\r\nx-request-id: id-0",
+        b"500 Odd\r\nx-request-id: id-0",
+    ],
+)
+def test_signed_success_and_unsigned_failure_are_accepted(head):
+    response = b"HTTP/1.1 %s\r\ncontent-length: 0\r\n\r\n" % head
+    result = asyncio.run(_fetch(response, None, names=SIGNING_NAMES))
+    assert result.code is codes.OK
+    assert result.response.status == int(head[:3])
+
+
+# The health path is asked without a request id, and its response not signed.
+def test_response_to_a_health_request_needs_no_signature():
+    request = http.HttpRequest("GET", "/healthz", [], b"")
+    response = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+    result = asyncio.run(_fetch(response, None, request, SIGNING_NAMES))
+    assert result.response.body == b"ok"
+
+
 async def _fetch_from_late_server(late):
     """Send a request whose server first sends late bytes of the one before.
 
