Split what ends a call and what a node reports out of ingress/systems.py

What a response tells of its server is now in ingress/node_reports.py, and the end of a call with the caller's response in ingress/completion.py. Moved without a change of what is decided; only the log line "attempt_answered" is now written before the report is recorded.

--- a/fescueyard/ingress/systems.py
+++ b/fescueyard/ingress/systems.py
@@ -15,36 +15,29 @@
 from fescueyard.core import exceptions
 from fescueyard.core import http
 from fescueyard.core import logs
-from fescueyard.core import problems
 from fescueyard.core import timers
 from fescueyard.idempotency import systems as claims
+from fescueyard.ingress import completion
 from fescueyard.ingress import failover
 from fescueyard.ingress import models
+from fescueyard.ingress import node_reports
 from fescueyard.ingress import parsing
 from fescueyard.ingress import route_parsing
-from fescueyard.keys import systems as keys
 from fescueyard.limits import decisions as rate_decisions
 from fescueyard.limits import systems as limits
 from fescueyard.pressure import entry
-from fescueyard.pressure import models as pressure_models
 from fescueyard.retries import budget
 from fescueyard.retries import quarantine
 from fescueyard.retries import systems as retries
 from fescueyard.routing import balancer
-from fescueyard.routing import evacuation
 from fescueyard.routing import membership
-from fescueyard.routing import models as routing_models
-from fescueyard.routing import outliers
 from fescueyard.routing import zone_health
 
 LOG = logs.ComponentLogger("ingress")
 
-RETRY_AFTER_MS = 1_000
-SERVER_ERROR_STATUS_MIN = 500
 # Time after the deadline in which the response of a run that completes just in
 # time can still reach the waiting caller.
 RESPONSE_GRACE_MS = 120
-RETRY_AFTER_JITTER_SHARE = 1.0
 SHED_RETRY_AFTER_MIN_MS = 300
 SHED_RETRY_AFTER_MS = 1_500  # for routes without an objective
 # A shed request may be resent after a share of its latency objective. That is
@@ -158,7 +151,7 @@
         age_ms=replica.rounded_age_ms(tables.configuration, now_ms),
     )
     return tables.interface.build_error_response(
-        error.code, error.detail, _retry_after_ms(tables)
+        error.code, error.detail, completion.draw_retry_after_ms(tables)
     )
 
 
@@ -212,7 +205,9 @@
         limits.return_token(tables, event, now_ms)
         return
     if event.code is not codes.OK:
-        _finish_failed(tables, call, event.code, event.retry_after_ms, now_ms)
+        completion.finish_failed(
+            tables, call, event.code, event.retry_after_ms, now_ms
+        )
     elif not _admit_or_shed(tables, call, now_ms):
         limits.return_token(tables, event, now_ms)
 
@@ -258,7 +253,9 @@
             now_ms - tables.pressure.by_service[call.service].reported_at_ms
         ),
     )
-    _finish_failed(tables, call, codes.TURNED_AWAY, retry_after_ms, now_ms)
+    completion.finish_failed(
+        tables, call, codes.TURNED_AWAY, retry_after_ms, now_ms
+    )
 
 
 @dispatch.handle.register
@@ -269,12 +266,12 @@
     elif event.code is codes.OK:
         _send_attempt(tables, call, now_ms)
     elif event.stored_response is not None:
-        response = _caller_response(
+        response = completion.build_caller_response(
             tables, event.stored_response, codes.REPLAYED
         )
-        _finish(tables, call, codes.REPLAYED, None, response, now_ms)
+        completion.finish(tables, call, codes.REPLAYED, None, response, now_ms)
     else:
-        _finish_failed(tables, call, event.code, 0.0, now_ms)
+        completion.finish_failed(tables, call, event.code, 0.0, now_ms)
 
 
 @dispatch.handle.register
@@ -286,7 +283,9 @@
         _claim_or_attempt(tables, call, now_ms)
     else:
         code = codes.by_number(call.last_code)
-        _finish_failed(tables, call, code, call.last_retry_after_ms, now_ms)
+        completion.finish_failed(
+            tables, call, code, call.last_retry_after_ms, now_ms
+        )
 
 
 @dispatch.handle.register
@@ -363,7 +362,9 @@
     )
     if member is None:
         code = codes.by_number(call.last_code or codes.NO_BACKEND.number)
-        _finish_failed(tables, call, code, call.last_retry_after_ms, now_ms)
+        completion.finish_failed(
+            tables, call, code, call.last_retry_after_ms, now_ms
+        )
         return
     if call.attempts_max is not None and not call.attempt_count:
         budget.record_first_attempt(tables, call.service, profile)
@@ -433,29 +434,6 @@
         return
     node_id = attempt.node_id
     call = tables.calls.rows[attempt.call_id]
-    entry.record_response(
-        tables.pressure,
-        call.service,
-        pressure_models.Pressure(
-            forward_response.pressure, forward_response.bottleneck
-        ),
-        call.is_backend_call,
-        now_ms,
-    )
-    balancer.record_load(
-        tables, node_id, forward_response.load, forward_response.limit, now_ms
-    )
-    outliers.record_report(
-        tables.members,
-        node_id,
-        routing_models.QualityReport(
-            call.service,
-            call.priority,
-            forward_response.latency_ms,
-            forward_response.failure_share,
-        ),
-        now_ms,
-    )
     LOG.decision(
         "attempt_answered",
         call=attempt.call_id,
@@ -468,27 +446,7 @@
         failure_share=round(forward_response.failure_share, 3),
         took_ms=round(now_ms - attempt.started_at_ms),
     )
-    if forward_response.code in (
-        codes.LEAVING.number,
-        codes.NO_BACKEND.number,
-    ):
-        balancer.mark_refusing(tables, node_id, now_ms)
-    if forward_response.code == codes.SERVER_LIMITED.number:
-        balancer.mark_limited(
-            tables, node_id, forward_response.retry_after_ms, now_ms
-        )
-    if forward_response.code == codes.ZONE_EVACUATED.number:
-        evacuation.record_rejection(tables, node_id, now_ms)
-    balancer.record_notice(
-        tables,
-        attempt.address,
-        forward_response.notice,
-        forward_response.response is not None,
-    )
-    if forward_response.crash_id:
-        quarantine.record_reported_crash(
-            tables, call.fingerprint, forward_response.crash_id, now_ms
-        )
+    node_reports.record(tables, call, attempt, forward_response, now_ms)
     code = codes.by_number(forward_response.code)
     response = forward_response.response
     if response is not None and not http.is_final_status(response.status):
@@ -523,7 +481,7 @@
     if code.outcome is codes.Outcome.MAY_HAVE_RUN:
         call.may_have_run_code = code.number
     if not failover.may_retry_failure(tables, call, code, now_ms):
-        _finish_failed(tables, call, code, retry_after_ms, now_ms)
+        completion.finish_failed(tables, call, code, retry_after_ms, now_ms)
     elif call.attempts_max is not None or failover.needs_no_budget(code):
         _retry(tables, call, code.name, now_ms)
     else:
@@ -556,8 +514,10 @@
         call.failed_response = response
         _retry(tables, call, f"status {response.status}", now_ms)
         return
-    caller_response = _caller_response(tables, response, codes.OK)
-    _finish(tables, call, code, response, caller_response, now_ms)
+    caller_response = completion.build_caller_response(
+        tables, response, codes.OK
+    )
+    completion.finish(tables, call, code, response, caller_response, now_ms)
 
 
 def _retry(tables, call, reason, now_ms):
@@ -580,7 +540,7 @@
         del tables.calls.attempts[attempt.attempt_id]
         balancer.attempt_ended(tables, attempt.node_id, False, now_ms)
         _cancel(tables, attempt, now_ms)
-    _finish_failed(tables, call, code, 0.0, now_ms)
+    completion.finish_failed(tables, call, code, 0.0, now_ms)
 
 
 def _cancel(tables, attempt, now_ms):
@@ -590,68 +550,3 @@
     else:
         cancel = admission_messages.ForwardCancel(attempt.attempt_id)
         tables.effects.append(effects.SendMessage(attempt.address, cancel))
-
-
-def _caller_response(tables, response, code):
-    """Build the caller's response from a backend server's response."""
-    headers = keys.sanitize_response_headers(response.headers)
-    if not tables.routed:
-        headers.append(http.Header(problems.CODE_HEADER, str(code.number)))
-        outcome = code.outcome.value
-        headers.append(http.Header(problems.OUTCOME_HEADER, outcome))
-    return http.HttpResponse(response.status, headers, response.body)
-
-
-def _finish_failed(tables, call, code, retry_after_ms, now_ms):
-    if call.failed_response is not None:
-        # A backend server has already responded, so the caller gets that
-        # response.
-        response = _caller_response(tables, call.failed_response, codes.OK)
-        _finish(tables, call, codes.OK, call.failed_response, response, now_ms)
-        return
-    if call.may_have_run_code and code.outcome is codes.Outcome.NOT_RUN:
-        # An earlier attempt may have run, so "not run" would be wrong.
-        code = codes.by_number(call.may_have_run_code)
-    wait_ms = retry_after_ms or _retry_after_ms(tables)
-    response = tables.interface.build_error_response(code, "", wait_ms)
-    _finish(tables, call, code, None, response, now_ms)
-
-
-def _finish(tables, call, code, backend_response, caller_response, now_ms):
-    """Finish a call and send its response.
-
-    :param backend_response: the backend server's response, or None.
-    :param caller_response: the caller's response.
-    """
-    if call.stage is models.Stage.CLAIM:
-        claims.abandon(tables, call.call_id, now_ms)
-    claims.complete(tables, call.call_id, code, backend_response, now_ms)
-    run = tables.runs.rows.get(call.parent_run_id)
-    if run is not None and caller_response.status >= SERVER_ERROR_STATUS_MIN:
-        run.failed_call_fingerprints.add(call.fingerprint)
-    tables.metrics.record_call_latency(now_ms - call.started_at_ms)
-    table = tables.calls
-    del table.rows[call.call_id]
-    del table.by_exchange[call.exchange_id]
-    tables.metrics.count(f"calls_{code.name}")
-    LOG.decision(
-        "answered",
-        request=call.request_id,
-        call=call.call_id,
-        code=code.number,
-        reason=code.name,
-        status=caller_response.status,
-        tries=call.attempt_count,
-        reached=call.backends_reached,
-        took_ms=round(now_ms - call.started_at_ms),
-    )
-    if not call.caller_left:
-        tables.effects.append(
-            effects.RespondToCaller(call.exchange_id, caller_response)
-        )
-
-
-def _retry_after_ms(tables):
-    return RETRY_AFTER_MS * (
-        1 + RETRY_AFTER_JITTER_SHARE * tables.random.random()
-    )
