Share the reload of settings, and split results out of the backend connection

Nodes and control processes held the same ten lines that read their settings again; conf/reloading.py has them once, with a test. What a response says of its request (refused, another instance, not signed) moves from backend_connection.py, which had grown to 460 lines, to backend_results.py. Moved without a change of behaviour; tests of transport, conf and of the entry point pass.

--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 
+from fescueyard.conf import reloading
 from fescueyard.conf import settings as conf_settings
 from fescueyard.configuration import state as states
 from fescueyard.consensus import elections
@@ -144,15 +145,10 @@
 
     def reload(self):
         """Read the settings again and apply those that can change."""
-        if self._load_settings is None:
-            LOG.info("reload_ignored", reason="settings come from flags")
-            return
-        try:
-            settings = self._load_settings()
-        except exceptions.SettingsError as error:
-            LOG.error("reload_refused", detail=error.detail)
-            return
-        if settings == self.settings:
+        settings = reloading.load_changed(
+            self._load_settings, self.settings, LOG
+        )
+        if settings is None:
             return
         self.settings = settings
         self._tables.control_addresses = settings.control_addresses
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -10,6 +10,7 @@
 from fescueyard.admission import registration
 from fescueyard.admission import start_limits
 from fescueyard.admission import systems as admission
+from fescueyard.conf import reloading
 from fescueyard.conf import settings as conf_settings
 from fescueyard.core import addresses
 from fescueyard.core import clock
@@ -199,15 +200,10 @@
 
     def reload(self):
         """Read the settings again and apply those that may change."""
-        if self._load_settings is None:
-            LOG.info("reload_ignored", reason="settings come from flags")
-            return
-        try:
-            settings = self._load_settings()
-        except exceptions.SettingsError as error:
-            LOG.error("reload_refused", detail=error.detail)
-            return
-        if settings == self.settings:
+        settings = reloading.load_changed(
+            self._load_settings, self.settings, LOG
+        )
+        if settings is None:
             return
         self.settings = settings
         tables = self._tables
--- a/fescueyard/transport/backend_connection.py
+++ b/fescueyard/transport/backend_connection.py
@@ -14,8 +14,8 @@
 from fescueyard.core import exceptions
 from fescueyard.core import http
 from fescueyard.core import logs
-from fescueyard.core import notices
 from fescueyard.core import text as text_checks
+from fescueyard.transport import backend_results
 from fescueyard.transport import http_parsing
 from fescueyard.transport import memory_account
 from fescueyard.transport import response_framing
@@ -31,9 +31,6 @@
 # Margin before the backend server would close an idle connection; at most half
 # of the timeout that it states.
 IDLE_MARGIN_S = 1.0
-WRONG_INSTANCE_STATUS = 421
-# Statuses that tell a caller that its request has not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Bytes of a response outside its body: head, trailers, framing.
 OVERHEAD_BYTES_MAX = 64 * 1024
 # Allows for the framing of a body that arrives in chunks of one byte.
@@ -41,8 +38,6 @@
 # Limit on interim responses and responses to other requests before the
 # expected one.
 RESPONSES_SKIPPED_MAX = 16
-# A redirection counts as a failure: its request has not succeeded.
-_FAILURE_STATUS_MIN = 300
 
 
 class Connection(asyncio.Protocol):
@@ -278,7 +273,9 @@
             else:
                 self._count_skipped()
             return
-        if self._lacks_signature(response, transfer):
+        if backend_results.lacks_signature(
+            response, transfer, self._client.names
+        ):
             self._reject_response(
                 exceptions.ResponseError("success without a signature")
             )
@@ -287,7 +284,11 @@
             # The backend server would parse the rest of the request body as
             # another request.
             self.usable = False
-        self._finish(self._classify(response, transfer))
+        self._finish(
+            backend_results.build(
+                response, transfer, self._client.names, self.connected_at_ms
+            )
+        )
 
     def _count_skipped(self):
         """Count a response other than the expected one."""
@@ -335,7 +336,7 @@
         return (
             self._requests_started > 1
             and bool(transfer.request_id)
-            and response.status >= _FAILURE_STATUS_MIN
+            and backend_results.is_failure(response)
             and response.header(self._client.names.request_id) is None
             and self._must_echo()
         )
@@ -345,57 +346,25 @@
             return True
         echoed_id = response.header(self._client.names.request_id)
         if echoed_id is None:
-            if self._denies_run(response):
+            if backend_results.denies_run(response, self._client.names):
                 # A second copy of it could not be told from the response to
                 # the next request on this connection.
                 self.usable = False
             if not self._must_echo():
                 return True
-            if response.status < _FAILURE_STATUS_MIN:
+            if not backend_results.is_failure(response):
                 return False
             self.usable = False
             return True
         self._client.echoing_addresses.add(self.address)
         return echoed_id == transfer.request_id
 
-    def _lacks_signature(self, response, transfer):
-        """Return whether a success is not the backend server's own."""
-        name = self._client.names.signature
-        return (
-            bool(name and transfer.request_id)
-            and response.status < _FAILURE_STATUS_MIN
-            and response.header(name) is None
-        )
-
-    def _denies_run(self, response):
-        """Return whether a response says that its request has not run."""
-        return (
-            response.status in NOT_RUN_STATUSES
-            or response.header(self._client.names.not_run) is not None
-        )
-
     def _must_echo(self):
         return (
             self._client.requires_echo
             or self.address in self._client.echoing_addresses
         )
 
-    def _classify(self, response, transfer):
-        notice = notices.parse(response.headers, self._client.names)
-        if response.header(self._client.names.not_run) is not None:
-            return transfers.BackendResult(
-                None, codes.BACKEND_REFUSED, notice, self.connected_at_ms
-            )
-        if response.status == WRONG_INSTANCE_STATUS:
-            if transfer.expects_instance:
-                return transfers.BackendResult(None, codes.WRONG_INSTANCE)
-        complete_response = http.HttpResponse(
-            response.status, response.headers, bytes(response.body)
-        )
-        return transfers.BackendResult(
-            complete_response, codes.OK, notice, self.connected_at_ms
-        )
-
     def _handle_parse_error(self, reason):
         if self._transfer is None:
             self.abort()
