--- a/fescueyard/control/app.py
+++ b/fescueyard/control/app.py
@@ -145,9 +145,7 @@
 
     def reload(self):
         """Read the settings again and apply those that can change."""
-        settings = reloading.load_changed(
-            self._load_settings, self.settings, LOG
-        )
+        settings = reloading.load_changed(self._load_settings, self.settings)
         if settings is None:
             return
         self.settings = settings
--- a/fescueyard/node/app.py
+++ b/fescueyard/node/app.py
@@ -200,9 +200,7 @@
 
     def reload(self):
         """Read the settings again and apply those that may change."""
-        settings = reloading.load_changed(
-            self._load_settings, self.settings, LOG
-        )
+        settings = reloading.load_changed(self._load_settings, self.settings)
         if settings is None:
             return
         self.settings = settings
--- a/tests/conf/test_reloading.py
+++ b/tests/conf/test_reloading.py
@@ -4,9 +4,6 @@
 
 from fescueyard.conf import reloading
 from fescueyard.core import exceptions
-from fescueyard.core import logs
-
-LOG = logs.ComponentLogger("test")
 
 
 def _refuse():
@@ -20,8 +17,8 @@
     ids=["changed", "unchanged", "refused"],
 )
 def test_only_valid_changed_settings_are_applied(load, expected):
-    assert reloading.load_changed(load, "old", LOG) == expected
+    assert reloading.load_changed(load, "old") == expected
 
 
 def test_settings_from_flags_are_not_read_again():
-    assert reloading.load_changed(None, "old", LOG) is None
+    assert reloading.load_changed(None, "old") is None
