Give the tests of the entry point loopback addresses of their own

Their processes listened for metrics on a fixed port of 127.0.0.1, which a second run of the tests on the same machine would have taken.

--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -7,8 +7,6 @@
 
 import pytest
 
-from demo import ports
-
 START_TIMEOUT_S = 30
 # Runs the program, and sends a signal to itself at a given moment: when a
 # module is first looked for, or when the interpreter exits.
@@ -38,20 +36,20 @@
 [Self]
 Node = "sidecar-a-1"
 Role = "{role}"
-Ip = "127.0.0.1"
+Ip = "{host}"
 Zone = "thrissur-a"
 Region = "kerala-central"
 Bootstrap = true
 DataDir = "{data_folder}"
-AppAddr = "{ports[0]}"
+AppAddr = "{host}:8547"
 Service = "huvo11a"
 [Network]
-InternalPorts = [{internal_port}, {internal_port}]
-Seeds = ["{ports[1]}"]
+InternalPorts = [7000, 7000]
+Seeds = ["{host}:8540"]
 [Network.Listen]
-Outbound = "{ports[2]}"
-Ready = "{ports[3]}"
-Control = "{ports[1]}"
+Outbound = "{host}:8548"
+Ready = "{host}:8546"
+Control = "{host}:8540"
 [Platform]
 HeartbeatMs = 1500
 [Terms.FaultTolerance]
@@ -73,18 +71,13 @@
 
     All processes are killed after the test.
     """
-    reserved = ports.ReservedPorts()
     processes = []
 
     def start(role, moment, number):
-        internal_address = reserved.new_address()
         path = tmp_path / "settings.toml"
         path.write_text(
             SETTINGS.format(
-                role=role,
-                data_folder=tmp_path / "data",
-                ports=[reserved.new_address() for _ in range(4)],
-                internal_port=internal_address.rpartition(":")[2],
+                role=role, data_folder=tmp_path / "data", host=_own_host()
             )
         )
         environment = dict(os.environ)
@@ -102,6 +95,16 @@
         process.communicate()
 
 
+def _own_host():
+    """Return a loopback address that no other test run uses.
+
+    The settings file names no port of the metrics, which is the same on all
+    machines.
+    """
+    high, low = divmod(os.getpid() % 50_000, 250)
+    return f"127.{high + 16}.{low + 1}.1"
+
+
 def _run_program(moment, number, *arguments, **options):
     return subprocess.Popen(
         [sys.executable, "-c", PROGRAM, moment, str(int(number)), *arguments],
